--- /dev/null
+++ b/crates/wirehost/src/lib.rs
@@ -0,0 +1,268 @@
+//! The adapter: decodes the wire into calls of the planner and encodes what comes back. It knows
+//! the wire's names, its units and its ids; it decides nothing.
+
+mod wire;
+
+use dahliapoint::rules::Planner;
+use dahliapoint::{Extent, Listed, Met, Orders};
+use serde_json::{Map, Value, json};
+use std::collections::{BTreeMap, HashMap};
+use wire::{Fields, ms, opening};
+
+/// The one table that every proxy is bound to.
+const SHARED: u32 = 0;
+/// The one timer of an instance; older ones are overtaken by newer ones.
+const ALARM: u32 = 1;
+
+/// All instances of this process; they share nothing but the numbered lists of the wire.
+#[derive(Default)]
+pub struct Host {
+    lists: BTreeMap<u64, Vec<wire::Entry>>,
+    /// Each instance ever started here; none in the place of one that was killed.
+    instances: BTreeMap<String, Option<Instance>>,
+}
+
+/// One planner, and the names its indices stand for.
+struct Instance {
+    planner: Planner,
+    servers: Vec<u64>,
+    places: HashMap<u64, usize>,
+    zones: u64,
+    classes: u64,
+}
+
+impl Instance {
+    fn place(&mut self, id: u64) -> usize {
+        let next = self.servers.len();
+        let place = *self.places.entry(id).or_insert(next);
+        if place == next {
+            self.servers.push(id);
+        }
+        place
+    }
+}
+
+impl Host {
+    /// Answers one batch, or says in a plain sentence what is wrong with it.
+    pub fn answer(&mut self, line: &[u8]) -> Result<String, String> {
+        let batch: Value =
+            serde_json::from_slice(line).map_err(|e| format!("not a JSON batch: {e}"))?;
+        let batch = Fields::of(&batch, "batch", "batch")?;
+        let turn = batch.whole("turn")?;
+        let said = |e: String| format!("batch {turn}: {e}");
+        let now = ms(batch.whole("atTimeNs").map_err(said)?);
+        let events = batch.array("input").map_err(said)?;
+        let mut actions = Vec::new();
+        for (number, event) in events.iter().enumerate() {
+            self.take(now, event, &mut actions)
+                .map_err(|e| format!("batch {turn}, event {number}: {e}"))?;
+        }
+        Ok(json!({"turn": turn, "actions": actions}).to_string())
+    }
+
+    fn take(&mut self, now: f64, event: &Value, out: &mut Vec<Value>) -> Result<(), String> {
+        let name = Fields::of(event, "event", "event")?.text("verb")?;
+        let f = Fields::of(event, "event", name)?;
+        if name == "Catalog" {
+            let entries = f.array("elements")?;
+            let read: Result<Vec<_>, _> = entries.iter().map(wire::Entry::of).collect();
+            self.lists.insert(f.below("sheet", 16)?, read?);
+            return Ok(());
+        }
+        let who = f.instance("who")?;
+        if name == "Born" {
+            let settings = f.object("settings")?;
+            let opening = opening(&settings)?;
+            let (zones, classes) = (opening.zones as u64, opening.classes.len() as u64);
+            let planner = Planner::begun(now, f.whole("randomSeed")?, &opening);
+            let instance = Instance {
+                planner,
+                servers: Vec::new(),
+                places: HashMap::new(),
+                zones,
+                classes,
+            };
+            self.instances.insert(who.to_string(), Some(instance));
+            return Ok(());
+        }
+        if name == "Retire" {
+            self.instances.insert(who.to_string(), None);
+            return Ok(());
+        }
+        let lists = &self.lists;
+        let Some(place) = self.instances.get_mut(who) else {
+            return Err(f.wrong("who", "an instance that was started"));
+        };
+        let Some(i) = place else {
+            return Ok(());
+        };
+        let orders = match name {
+            "Membership" => {
+                let kind = f.text("kind")?;
+                f.whole("gen")?;
+                let extent = match kind {
+                    "warm_copy" => Extent::Remembered,
+                    "total" => Extent::Whole,
+                    "incr" => Extent::Changes,
+                    "lost" => {
+                        let orders = i.planner.roster_lost(now);
+                        encode(who, i, orders, out);
+                        return Ok(());
+                    }
+                    _ => return Err(f.wrong("kind", "a kind of list")),
+                };
+                let sheet = f.below("sheet", 16)?;
+                let entries = lists
+                    .get(&sheet)
+                    .ok_or_else(|| f.wrong("sheet", "a list"))?;
+                let mut roster = Vec::with_capacity(entries.len());
+                for entry in entries {
+                    if entry.zone >= i.zones {
+                        return Err(f.wrong("sheet", "a list of zones that the settings name"));
+                    }
+                    roster.push(Listed {
+                        server: i.place(entry.id),
+                        zone: entry.zone as usize,
+                        standing: entry.standing,
+                        weight: entry.weight,
+                        started_ms: entry.started_ms,
+                    });
+                }
+                i.planner.roster_changed(now, extent, &roster)
+            }
+            "Connected" => {
+                let zone = f.below("campus", i.zones)? as usize;
+                f.flag("flag")?;
+                f.number("heft")?;
+                i.planner
+                    .proxy_joined(now, f.below("agent", 65536)? as usize, zone)
+            }
+            "DroppedOff" => i.planner.proxy_left(now, f.below("agent", 65536)? as usize),
+            "Acked" => {
+                f.whole("costTimeNs")?;
+                let proxy = f.below("agent", 65536)? as usize;
+                i.planner
+                    .orders_applied(now, proxy, f.below("gen", 65536)? as u32)
+            }
+            "UpstreamStats" => {
+                f.whole("windowNs")?;
+                let load = f.load("telemetry")?;
+                let met = Met {
+                    zone: f.below("campus", i.zones)? as usize,
+                    tries: f.whole("n")? as f64,
+                    failed: f.whole("bad")? as f64,
+                    mean_ms: ms(f.whole("costTimeNs")?),
+                    waiting: load("backlog"),
+                    busy: load("utilization"),
+                    service_ms: load("recent_ms"),
+                    server: i.place(f.below("backend", 1 << 32)?),
+                };
+                i.planner.tries_met(now, &met)
+            }
+            "Ingress" => {
+                f.whole("windowNs")?;
+                f.below("agent", 65536)?;
+                let class = f.below("grade", i.classes)? as usize;
+                let (came, lost) = (f.whole("n")? as f64, f.whole("bad")? as f64);
+                i.planner.visits_came(now, class, came, lost)
+            }
+            "HealthResult" => {
+                f.whole("costTimeNs")?;
+                let _report = f.load("telemetry")?;
+                let fine = match f.text("rc")? {
+                    "ok" => true,
+                    "error" | "full" | "timeout" | "connect_failed" | "reset" | "cancelled"
+                    | "moot" => false,
+                    _ => return Err(f.wrong("rc", "an outcome")),
+                };
+                let server = i.place(f.below("backend", 1 << 32)?);
+                i.planner.probe_answered(now, server, fine)
+            }
+            "DeadlineHit" => {
+                f.whole("ref")?;
+                i.planner.woken(now)
+            }
+            // Slices and peers: taken, checked, and of no use to the planner so far.
+            "Custody" => {
+                f.whole("table")?;
+                f.flag("flag")?;
+                return Ok(());
+            }
+            "Held" => {
+                f.whole("table")?;
+                f.number("heft")?;
+                f.below("backend", 1 << 32)?;
+                return Ok(());
+            }
+            "Heat" => {
+                for field in ["n", "windowNs", "table", "bad", "grade"] {
+                    f.whole(field)?;
+                }
+                return Ok(());
+            }
+            "NeighbourSays" => {
+                f.whole("src")?;
+                f.text("bytes")?;
+                return Ok(());
+            }
+            _ => return Err(format!("{name}: no such event")),
+        };
+        encode(who, i, orders, out);
+        Ok(())
+    }
+}
+
+/// Writes orders as actions, in the order of the fields of [`Orders`].
+fn encode(who: &str, i: &Instance, orders: Orders, out: &mut Vec<Value>) {
+    let mut put = |verb: &str, fields: Value| {
+        let mut action = Map::new();
+        action.insert("verb".into(), verb.into());
+        action.insert("who".into(), who.into());
+        if let Value::Object(fields) = fields {
+            action.extend(fields);
+        }
+        out.push(Value::Object(action));
+    };
+    for (server, weight) in orders.lines {
+        let backend = i.servers[server];
+        put(
+            "PutLine",
+            json!({"heft": weight, "table": SHARED, "backend": backend}),
+        );
+    }
+    for (class, share, tries) in orders.levels {
+        let way = wire::way_of(tries);
+        let mask = 1u64 << class;
+        put(
+            "Throttle",
+            json!({"onFailure": way, "level": share, "table": SHARED, "mask": mask}),
+        );
+    }
+    for (server, out_of_all) in orders.withdrawals {
+        put(
+            "Mask",
+            json!({"backend": i.servers[server], "flag": out_of_all}),
+        );
+    }
+    for proxy in orders.binds {
+        put(
+            "UseTable",
+            json!({"mask": 0, "table": SHARED, "agent": proxy}),
+        );
+    }
+    if let Some(mark) = orders.mark {
+        put("Mark", json!({"gen": mark, "flag": false}));
+    }
+    for server in orders.probes {
+        put("HealthCheck", json!({"backend": i.servers[server]}));
+    }
+    if orders.ask_list {
+        put("StreamChanges", json!({"flag": true}));
+    }
+    if let Some(at) = orders.wake_at {
+        put("Sleep", json!({"atNs": wire::ns(at), "ref": ALARM}));
+    }
+    for text in orders.notes {
+        put("WriteLog", json!({"text": text}));
+    }
+}
--- /dev/null
+++ b/crates/wirehost/src/wire.rs
@@ -0,0 +1,287 @@
+//! Fields of the wire: read with a plain word on what is missing or of the wrong kind.
+
+use dahliapoint::{Admission, Class, Opening, Repeat, Standing, Tries};
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer};
+use serde_json::{Map, Value};
+
+pub fn ms(ns: u64) -> f64 {
+    ns as f64 / 1e6
+}
+
+pub fn ns(ms: f64) -> u64 {
+    (ms * 1e6).ceil() as u64
+}
+
+/// The fields of one message.
+pub struct Fields<'a> {
+    map: &'a Map<String, Value>,
+    name: &'a str,
+}
+
+impl<'a> Fields<'a> {
+    pub fn of(value: &'a Value, what: &str, name: &'a str) -> Result<Self, String> {
+        let map = value.as_object();
+        map.map(|map| Fields { map, name })
+            .ok_or_else(|| format!("a {what} is an object"))
+    }
+
+    pub fn wrong(&self, field: &str, wanted: &str) -> String {
+        match self.map.get(field) {
+            None | Some(Value::Null) => format!("{}: field {field:?} is missing", self.name),
+            Some(_) => format!("{}: field {field:?} is not {wanted}", self.name),
+        }
+    }
+
+    fn get<T>(
+        &self,
+        field: &str,
+        wanted: &str,
+        read: impl Fn(&'a Value) -> Option<T>,
+    ) -> Result<T, String> {
+        let value = self.map.get(field).and_then(read);
+        value.ok_or_else(|| self.wrong(field, wanted))
+    }
+
+    pub fn whole(&self, field: &str) -> Result<u64, String> {
+        self.get(field, "a whole number", Value::as_u64)
+    }
+
+    pub fn below(&self, field: &str, end: u64) -> Result<u64, String> {
+        let read = |v: &Value| v.as_u64().filter(|n| *n < end);
+        self.get(field, &format!("a whole number below {end}"), read)
+    }
+
+    pub fn number(&self, field: &str) -> Result<f64, String> {
+        let read = |v: &Value| v.as_f64().filter(|n| *n >= 0.0);
+        self.get(field, "a number from 0 up", read)
+    }
+
+    pub fn flag(&self, field: &str) -> Result<bool, String> {
+        self.get(field, "true or false", Value::as_bool)
+    }
+
+    pub fn text(&self, field: &str) -> Result<&'a str, String> {
+        self.get(field, "a text", Value::as_str)
+    }
+
+    pub fn instance(&self, field: &str) -> Result<&'a str, String> {
+        let number = |s: &str| s.strip_prefix("controller/").map(str::parse::<u64>);
+        let read = |v: &'a Value| v.as_str().filter(|s| matches!(number(s), Some(Ok(_))));
+        self.get(field, "an instance", read)
+    }
+
+    pub fn array(&self, field: &str) -> Result<&'a [Value], String> {
+        self.get(field, "an array", |v| v.as_array().map(Vec::as_slice))
+    }
+
+    pub fn object(&self, field: &str) -> Result<Value, String> {
+        self.get(field, "an object", |v| v.is_object().then(|| v.clone()))
+    }
+
+    /// A load report; it may be missing, and may hold values that nobody here knows.
+    pub fn load(&self, field: &str) -> Result<impl Fn(&str) -> Option<f64> + use<'a>, String> {
+        let map = match self.map.get(field) {
+            None | Some(Value::Null) => None,
+            Some(Value::Object(map)) => Some(map),
+            Some(_) => return Err(self.wrong(field, "a load report")),
+        };
+        if map.is_some_and(|m| m.values().any(|v| !v.is_null() && !v.is_number())) {
+            return Err(self.wrong(field, "a load report of numbers"));
+        }
+        Ok(move |name: &str| map.and_then(|m| m.get(name)).and_then(Value::as_f64))
+    }
+}
+
+/// One entry of a numbered list.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub id: u64,
+    pub zone: u64,
+    pub standing: Standing,
+    pub weight: f64,
+    pub started_ms: Option<f64>,
+}
+
+impl Entry {
+    pub fn of(value: &Value) -> Result<Entry, String> {
+        let f = Fields::of(value, "list entry", "Catalog: elements")?;
+        let standing = match f.text("availability")? {
+            "active" => Standing::Ready,
+            "leaving" => Standing::Draining,
+            "left" => Standing::Gone,
+            _ => return Err(f.wrong("availability", "a standing")),
+        };
+        f.whole("cohort")?;
+        f.whole("generationHw")?;
+        let started = match f.map.get("startTimeNs") {
+            None | Some(Value::Null) => 0,
+            Some(_) => f.whole("startTimeNs")?,
+        };
+        Ok(Entry {
+            id: f.below("backend", 1 << 32)?,
+            zone: f.whole("campus")?,
+            standing,
+            weight: f.number("heft")?,
+            started_ms: (started > 0).then(|| ms(started)),
+        })
+    }
+}
+
+/// The settings, by their names on the wire. What no decision uses is not read.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Told {
+    lanes: Vec<Lane>,
+    zones: Vec<String>,
+    zone: u64,
+    rules: Bounds,
+    specifics: Facts,
+    limits: Allowed,
+    #[serde(default)]
+    registry_mode: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Lane {
+    #[serde(deserialize_with = "time")]
+    aim_ns: f64,
+    #[serde(deserialize_with = "time")]
+    deadline_ns: f64,
+    #[serde(deserialize_with = "positive")]
+    credit: f64,
+    effect: Effect,
+    #[serde(default)]
+    dedup_scope: String,
+    #[serde(default, deserialize_with = "time")]
+    key_ttl_ns: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Effect {
+    Pure,
+    Token,
+    SideEffect,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Bounds {
+    #[serde(deserialize_with = "positive")]
+    cold_from: f64,
+    #[serde(deserialize_with = "positive")]
+    fall_multiple: f64,
+    #[serde(deserialize_with = "time")]
+    ramp_time_ns: f64,
+    #[serde(default, deserialize_with = "time")]
+    ask_within_ns: f64,
+    #[serde(default)]
+    soft_removal: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Facts {
+    #[serde(default)]
+    admit: String,
+    #[serde(default)]
+    base_mode: u64,
+    #[serde(deserialize_with = "positive")]
+    most_waiting: f64,
+    #[serde(deserialize_with = "positive")]
+    overhead: f64,
+    #[serde(default, deserialize_with = "positive")]
+    messages_most: f64,
+    #[serde(default, deserialize_with = "time")]
+    reload_span_ns: f64,
+    #[serde(deserialize_with = "time")]
+    report_every_ns: f64,
+    #[serde(default, deserialize_with = "positive")]
+    try_aims: f64,
+    #[serde(default)]
+    shards: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Allowed {
+    #[serde(default)]
+    probing: bool,
+}
+
+fn time<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    u64::deserialize(from).map(ms)
+}
+
+fn positive<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    let value = f64::deserialize(from)?;
+    if value < 0.0 {
+        return Err(D::Error::custom("a number from 0 up is wanted"));
+    }
+    Ok(value)
+}
+
+/// The settings as the planner is told them.
+pub fn opening(settings: &Value) -> Result<Opening, String> {
+    let told: Told = serde_path_to_error::deserialize(settings)
+        .map_err(|e| format!("Born: field \"settings.{}\": {}", e.path(), e.inner()))?;
+    if told.zone as usize >= told.zones.len() {
+        return Err("Born: field \"settings.zone\" is not one of the zones".into());
+    }
+    if told.lanes.len() > 32 {
+        return Err("Born: field \"settings.lanes\" has more classes than a mask can name".into());
+    }
+    let class = |lane: &Lane| Class {
+        soft_limit_ms: lane.aim_ns,
+        hard_limit_ms: lane.deadline_ns,
+        earnings: lane.credit,
+        repeat: match (&lane.effect, lane.dedup_scope.as_str()) {
+            (Effect::Pure, _) => Repeat::Pure,
+            (Effect::Token, "all") => Repeat::TokenEverywhere {
+                for_ms: lane.key_ttl_ns,
+            },
+            (Effect::Token, _) => Repeat::TokenNearby,
+            (Effect::SideEffect, _) => Repeat::SideEffect,
+        },
+    };
+    let (facts, bounds) = (&told.specifics, &told.rules);
+    Ok(Opening {
+        zone: told.zone as usize,
+        zones: told.zones.len(),
+        classes: told.lanes.iter().map(class).collect(),
+        admission: match facts.admit.as_str() {
+            "fraction" => Admission::Share,
+            _ => Admission::Unused,
+        },
+        most_waiting: facts.most_waiting,
+        message_lines: facts.overhead,
+        most_messages: facts.messages_most,
+        message_span_ms: facts.reload_span_ns,
+        report_every_ms: facts.report_every_ns,
+        cold_share: bounds.cold_from,
+        warm_after_ms: bounds.ramp_time_ns,
+        fall_multiple: bounds.fall_multiple,
+        dropped_may_stay: bounds.soft_removal,
+        usual_tries: match facts.base_mode {
+            0 => Tries::Never,
+            1 => Tries::OnProof,
+            _ => Tries::OnFailure,
+        },
+        try_soft_limits: facts.try_aims,
+        may_probe: told.limits.probing,
+        must_ask: told.registry_mode == "ask",
+        ask_within_ms: bounds.ask_within_ns,
+        sliced: facts.shards > 0,
+    })
+}
+
+/// The wire's number for a way of trying again.
+pub fn way_of(tries: Tries) -> u64 {
+    match tries {
+        Tries::Never => 0,
+        Tries::OnProof => 1,
+        Tries::OnFailure => 2,
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,151 @@
+//! The interface of dahliapoint's decisions: plain values that go in and come out.
+//!
+//! Times are milliseconds with fractions on one clock that never goes back. Servers, proxies,
+//! zones, kinds and classes are small indices that the caller hands out. Nothing here knows of any
+//! wire; [`rules::Planner`] takes one call for each thing that happens and returns [`Orders`].
+
+pub mod rules;
+
+/// May a visit of a class run again?
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Repeat {
+    /// Any number of times.
+    Pure,
+    /// Repeats are thrown away by every server, for so long after the first try.
+    TokenEverywhere { for_ms: f64 },
+    /// Repeats are thrown away only by some servers: the rest would run it twice.
+    TokenNearby,
+    /// Never twice.
+    SideEffect,
+}
+
+/// A class of visits.
+#[derive(Clone, Copy, Debug)]
+pub struct Class {
+    pub soft_limit_ms: f64,
+    pub hard_limit_ms: f64,
+    pub earnings: f64,
+    pub repeat: Repeat,
+}
+
+/// How the proxies of a deployment take levels.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Admission {
+    /// A share of the visits is let in.
+    Share,
+    /// Levels are ignored, or are counted in a way the planner does not use.
+    Unused,
+}
+
+/// What a planner is told when it begins; turned at once into the few figures that decisions use.
+#[derive(Clone, Debug)]
+pub struct Opening {
+    pub zone: usize,
+    pub zones: usize,
+    pub classes: Vec<Class>,
+    pub admission: Admission,
+    /// Lines that may wait in the channel.
+    pub most_waiting: f64,
+    /// Lines that a message costs beyond its own.
+    pub message_lines: f64,
+    /// Messages to one proxy within `message_span_ms`; 0: no such limit.
+    pub most_messages: f64,
+    pub message_span_ms: f64,
+    pub report_every_ms: f64,
+    /// A server starts at no less than this share of its capacity ...
+    pub cold_share: f64,
+    /// ... is warm after this long ...
+    pub warm_after_ms: f64,
+    /// ... and falls over at this multiple of what it can do.
+    pub fall_multiple: f64,
+    /// A server merely dropped from the list may stay in tables.
+    pub dropped_may_stay: bool,
+    /// How proxies try again where no order says otherwise.
+    pub usual_tries: Tries,
+    /// A try that may be followed after any failure waits this multiple of the soft limit.
+    pub try_soft_limits: f64,
+    pub may_probe: bool,
+    /// The list must be asked for.
+    pub must_ask: bool,
+    pub ask_within_ms: f64,
+    /// Tables belong to slices of keys; the shared table has no place there.
+    pub sliced: bool,
+}
+
+/// When proxies try another server.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub enum Tries {
+    Never,
+    /// Once, after proof that the first try never ran.
+    OnProof,
+    /// Once, after any failure.
+    OnFailure,
+}
+
+/// What the list says of a server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One entry of the list of servers.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    pub server: usize,
+    pub zone: usize,
+    pub standing: Standing,
+    pub weight: f64,
+    /// When it last started, if lately.
+    pub started_ms: Option<f64>,
+}
+
+/// A list of servers: whole, or only what changed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Extent {
+    /// The list as this controller last held it; may be stale.
+    Remembered,
+    Whole,
+    Changes,
+}
+
+/// What the proxies of a zone met at a server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Met {
+    pub zone: usize,
+    pub server: usize,
+    pub tries: f64,
+    pub failed: f64,
+    /// Mean time of the tries that did not fail.
+    pub mean_ms: f64,
+    /// Visits that wait at the server, if it says so.
+    pub waiting: Option<f64>,
+    /// How busy its cores are, 0 to 1, if it says so.
+    pub busy: Option<f64>,
+    /// Its own service time without waiting, if it says so.
+    pub service_ms: Option<f64>,
+}
+
+/// What a call leads to, to be carried out in the order of the fields, as one message a proxy.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Orders {
+    /// Lines of the shared table: server and weight; 0 takes the line away.
+    pub lines: Vec<(usize, f64)>,
+    /// Levels of the shared table: class, share let in, and when to try again.
+    pub levels: Vec<(usize, f64, Tries)>,
+    /// Servers shut out of all tables (true), or allowed again.
+    pub withdrawals: Vec<(usize, bool)>,
+    /// Proxies to be bound to the shared table.
+    pub binds: Vec<usize>,
+    /// A number that each proxy concerned answers with.
+    pub mark: Option<u32>,
+    /// Servers to probe.
+    pub probes: Vec<usize>,
+    /// Ask for the list, and for its changes from now on.
+    pub ask_list: bool,
+    /// Call [`rules::Planner::woken`] at this time.
+    pub wake_at: Option<f64>,
+    /// Lines for the operators' log.
+    pub notes: Vec<String>,
+}
