--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,12 +22,12 @@
 const RING: usize = 8;
 const WINDOW: u64 = 3;
 /// Visits that a verdict needs: expected ones for silence, met ones for the rest.
-const ENOUGH: f64 = 6.0;
+const ENOUGH: f64 = 8.0;
 /// Failing: at least this share, and so many times the fleet's norm.
 const FAILING: f64 = 0.3;
 /// Slow: so many times the fleet's norm, and over this share of the tightest soft limit.
 const SLOW: f64 = 2.0;
-const STRAIN: f64 = 0.5;
+const STRAIN: f64 = 0.4;
 /// A step of trimming, and the least that it leaves.
 const TRIM: f64 = 0.5;
 const TRIM_LEAST: f64 = 0.1;
@@ -400,9 +400,6 @@
 
     /// Guards against servers lastingly slower than the fleet: a step down at a time.
     fn trim_the_slow(&mut self) -> bool {
-        if self.norm().1 > self.bounds.strained_ms {
-            return false;
-        }
         self.judge(
             |p, s| p.slow(s, SLOW, 1.0) && s.health > TRIM_LEAST,
             TRIM,
@@ -599,7 +596,15 @@
         } else {
             s.line.min(s.least)
         };
-        (self.news - s.heard) * least * self.pace() > ENOUGH
+        let quiet = self.news - s.heard;
+        quiet > (2.0 * self.bounds.bucket_ms).max(4.0 * self.norm().1)
+            && quiet * least * self.pace() > ENOUGH
+    }
+
+    /// The fleet as a whole is slow or failing: what one server loses the others cannot carry.
+    fn strained(&self) -> bool {
+        let norm = self.norm();
+        norm.0 > 0.1 || norm.1 > self.bounds.strained_ms
     }
 
     fn failing(&self, s: &Server) -> bool {
