--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -163,7 +163,8 @@
 enum Effect {
     Pure,
     Token,
-    SideEffect,
+    #[serde(rename = "side_effect")]
+    Once,
 }
 
 #[derive(Deserialize)]
@@ -243,7 +244,7 @@
                 for_ms: lane.key_ttl_ns,
             },
             (Effect::Token, _) => Repeat::TokenNearby,
-            (Effect::SideEffect, _) => Repeat::SideEffect,
+            (Effect::Once, _) => Repeat::SideEffect,
         },
     };
     let (facts, bounds) = (&told.specifics, &told.rules);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! wire; [`rules::Planner`] takes one call for each thing that happens and returns [`Orders`].
 
 pub mod rules;
+mod state;
 
 /// May a visit of a class run again?
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,16 +1,18 @@
 //! Every decision of dahliapoint, to be read aloud.
 //!
-//! How it is called: `Planner::begun` when a controller starts; then one method for each thing that
+//! How it is called: `Planner::begun` when a controller starts, then one method for each thing that
 //! happens (`roster_changed`, `proxy_joined`, `tries_met`, ...). Each notes what it was told, goes
 //! through `RULES` from the top until none fires, and returns the `Orders` to carry out. The values
-//! that go in and come out are in `src/lib.rs`. No call reads a clock, a file or a wire.
+//! that go in and come out are in `src/lib.rs`, plain memory and sums in `src/state.rs`. No call
+//! reads a clock, a file or a wire.
 //!
-//! The order of the rules: first what the list demands (out, in again), then what the evidence says
-//! (links before servers, so that a cut link is not taken for many sick servers), then the way back,
-//! then the table, the proxies bound to it, and last the questions that cost something: probes.
+//! The order of the rules: what the list demands; what the evidence says, links before servers, so
+//! that a cut link is not taken for many sick servers; the way back; levels and tries; the table
+//! and who is bound to it; and last the probes, which cost something.
 
-use crate::{Admission, Extent, Listed, Met, Opening, Orders, Repeat, Standing, Tries};
-use std::collections::{BTreeMap, VecDeque};
+use crate::state::{Bucket, Chance, Proxy, Server, View, median};
+use crate::{Admission, Extent, Listed, Met, Opening, Orders, Standing, Tries};
+use std::collections::BTreeMap;
 
 /// First settings of the design: the tick, the ramp in ticks, and its floor.
 const TICK_MS: f64 = 2000.0;
@@ -18,106 +20,68 @@
 const RAMP_FLOOR: f64 = 0.1;
 /// A line is written anew when it is off by more than this share.
 const LINE_SLACK: f64 = 0.02;
-/// Evidence: buckets kept, and those that a verdict looks at.
-const RING: usize = 8;
-const WINDOW: u64 = 3;
+/// Time buckets that count as lately, and those that must all be slow.
+const LATELY: u64 = 3;
+const LASTING: u64 = 3;
 /// Visits that a verdict needs: expected ones for silence, met ones for the rest.
 const ENOUGH: f64 = 8.0;
 /// Failing: at least this share, and so many times the fleet's norm.
 const FAILING: f64 = 0.3;
-/// Slow: so many times the fleet's norm, and over this share of the tightest soft limit.
+/// Slow: so many times the fleet's norm, and over STRAIN of the tightest soft limit.
 const SLOW: f64 = 2.0;
 const STRAIN: f64 = 0.4;
-/// A step of trimming, and the least that it leaves.
-const TRIM: f64 = 0.5;
+/// Overload: the fleet's median time over this share of the tightest soft limit.
+const OVERLOAD: f64 = 0.9;
+/// The fleet is strained, too, when its median server fails this share.
+const STRAIN_FAILING: f64 = 0.1;
+/// A step of trimming, and the least health that it leaves.
+const TRIM: f64 = 0.6;
 const TRIM_LEAST: f64 = 0.1;
 /// Of the listed weight of ready servers, what health may take away at most.
 const MOST_EJECTED: f64 = 0.35;
-/// A relapse doubles the time out, at most so often.
-const RELAPSES: i32 = 3;
-
-#[derive(Clone, Copy, Default)]
-struct Bucket {
-    stamp: u64,
-    tries: f64,
-    failed: f64,
-    good_ms: f64,
-}
-
-/// One server: its admin state, its health, its line, and what was met there, by zone of the proxies.
-struct Server {
-    zone: usize,
-    standing: Standing,
-    weight: f64,
-    started: Option<f64>,
-    /// When the ramp began; long ago for servers listed at the start.
-    entered: f64,
-    withdrawn: bool,
-    /// The part of the line that the evidence leaves: 1, less after trims, 0 when out.
-    health: f64,
-    judged: f64,
-    relapses: i32,
-    probed: f64,
-    line: f64,
-    /// Smallest line lately: what the expected visits are reckoned from.
-    least: f64,
-    least_since: f64,
-    heard: f64,
-    rings: Vec<[Bucket; RING]>,
-}
-
-struct Proxy {
-    zone: usize,
-    bound: bool,
-    /// Messages not yet answered: mark and lines.
-    unanswered: VecDeque<(u32, f64)>,
-    /// When messages were written lately.
-    written: VecDeque<f64>,
-}
+/// Ticks that a server is put out for, and how often a relapse doubles that.
+const HOLD_TICKS: f64 = 2.5;
+const RELAPSES: u32 = 3;
 
-/// What is derived from the opening, once.
-struct Bounds {
-    zone: usize,
+pub struct Planner {
+    now: f64,
+    servers: BTreeMap<usize, Server>,
+    proxies: BTreeMap<usize, Proxy>,
+    /// Zones that no joined proxy reaches.
+    cut: Vec<bool>,
+    /// The share of the dearest visits let in, when that last moved, and what was ordered by class.
+    level: f64,
+    level_since: f64,
+    ways: Vec<(f64, Tries)>,
+    /// By class, how often the level is taken times itself: the least earnings go first.
+    cheapness: Vec<f64>,
+    /// Derived from the opening.
     bucket_ms: f64,
-    ramp_ms: f64,
-    half_backlog: f64,
+    tight_ms: f64,
+    most_waiting: f64,
     message_lines: f64,
-    most_messages: usize,
+    most_messages: f64,
     message_span_ms: f64,
     cold_share: f64,
     warm_after_ms: f64,
-    fall_multiple: f64,
+    cold_excess: f64,
     dropped_may_stay: bool,
     may_probe: bool,
-    tables: bool,
-    strained_ms: f64,
-}
-
-pub struct Planner {
-    bounds: Bounds,
-    now: f64,
-    begun: f64,
-    chance: (u32, u32),
-    servers: BTreeMap<usize, Server>,
-    proxies: BTreeMap<usize, Proxy>,
-    /// How each class is tried again and let in.
-    ways: Vec<(f64, Tries)>,
-    ways_sent: Vec<(f64, Tries)>,
-    /// Zones that no joined proxy reaches.
-    cut: Vec<bool>,
+    may_refuse: bool,
+    has_tables: bool,
+    /// Times of the last report, the next tick, the alarm set, and the next asking for the list.
     news: f64,
     tick: f64,
     alarm: f64,
-    mark: u32,
     ask_at: f64,
-    asks: bool,
+    mark: u32,
+    chance: Chance,
     out: Orders,
 }
 
 type Rule = fn(&mut Planner) -> bool;
 
-/// The rules, in the order that the top of the file explains.
-const RULES: [Rule; 14] = [
+const RULES: [Rule; 15] = [
     Planner::ask_for_the_list,
     Planner::withdraw_what_is_not_ready,
     Planner::allow_what_is_ready_again,
@@ -126,9 +90,10 @@
     Planner::put_out_the_silent,
     Planner::put_out_the_failing,
     Planner::trim_the_slow,
-    Planner::let_the_recovered_return,
+    Planner::let_the_put_out_return,
+    Planner::let_the_trimmed_grow,
+    Planner::set_levels_and_tries,
     Planner::lower_lines_at_once,
-    Planner::order_ways_to_try,
     Planner::publish_on_the_tick,
     Planner::bind_waiting_proxies,
     Planner::probe_the_doubtful,
@@ -136,44 +101,38 @@
 
 impl Planner {
     pub fn begun(now: f64, seed: u64, told: &Opening) -> Planner {
-        let tightest = told
-            .classes
-            .iter()
-            .map(|c| c.soft_limit_ms)
-            .fold(f64::INFINITY, f64::min);
-        let bounds = Bounds {
-            zone: told.zone,
+        let limits = told.classes.iter().map(|c| c.soft_limit_ms);
+        let earnings = told.classes.iter().map(|c| c.earnings);
+        let dear = earnings.clone().fold(0.0, f64::max);
+        let capped = Some(told.most_messages).filter(|m| *m > 0.0);
+        Planner {
+            now,
+            servers: BTreeMap::new(),
+            proxies: BTreeMap::new(),
+            cut: vec![false; told.zones],
+            level: 1.0,
+            level_since: now,
+            ways: vec![(1.0, told.usual_tries); told.classes.len()],
+            cheapness: earnings.map(|e| dear / e.max(dear / 8.0)).collect(),
             bucket_ms: told.report_every_ms.max(TICK_MS / 2.0),
-            ramp_ms: TICK_MS * RAMP_TICKS,
-            half_backlog: told.most_waiting / 2.0,
-            message_lines: told.message_lines,
-            most_messages: told.most_messages as usize,
+            tight_ms: limits.fold(f64::INFINITY, f64::min),
+            most_waiting: told.most_waiting,
+            message_lines: told.message_lines + 1.0,
+            most_messages: capped.unwrap_or(f64::INFINITY),
             message_span_ms: told.message_span_ms,
             cold_share: told.cold_share,
             warm_after_ms: told.warm_after_ms,
-            fall_multiple: told.fall_multiple,
+            cold_excess: told.fall_multiple / 3.0,
             dropped_may_stay: told.dropped_may_stay,
             may_probe: told.may_probe,
-            tables: !told.sliced,
-            strained_ms: tightest * STRAIN,
-        };
-        let _ = (Repeat::Pure, Admission::Share);
-        Planner {
-            bounds,
-            now,
-            begun: now,
-            chance: (seed as u32 | 1, (seed >> 32) as u32 | 1),
-            servers: BTreeMap::new(),
-            proxies: BTreeMap::new(),
-            ways: vec![(1.0, told.usual_tries.max_with(Tries::OnProof)); told.classes.len()],
-            ways_sent: vec![(1.0, told.usual_tries); told.classes.len()],
-            cut: vec![false; told.zones],
+            may_refuse: told.admission == Admission::Share,
+            has_tables: !told.sliced,
             news: now,
             tick: now + TICK_MS,
-            alarm: f64::NEG_INFINITY,
+            alarm: now,
+            ask_at: if told.must_ask { now } else { f64::INFINITY },
             mark: 0,
-            ask_at: now,
-            asks: told.must_ask,
+            chance: Chance::from(seed),
             out: Orders::default(),
         }
     }
@@ -182,13 +141,11 @@
 
     pub fn roster_changed(&mut self, now: f64, extent: Extent, roster: &[Listed]) -> Orders {
         self.now = now;
-        if extent != Extent::Changes {
-            let listed: Vec<usize> = roster.iter().map(|l| l.server).collect();
-            for (s, server) in &mut self.servers {
-                if !(listed.contains(s) || self.bounds.dropped_may_stay && server.sound()) {
-                    server.standing = Standing::Gone;
-                }
-            }
+        let listed = |s: usize| roster.iter().any(|l| l.server == s);
+        let dropped = |s: &usize| extent != Extent::Changes && !listed(*s);
+        let known: Vec<usize> = self.servers.keys().copied().collect();
+        for s in known.into_iter().filter(dropped) {
+            self.note_gone(s);
         }
         for l in roster {
             self.note_listed(l, extent == Extent::Remembered);
@@ -196,54 +153,50 @@
         self.settle()
     }
 
+    /// Where a server that is merely dropped may stay, it does while it answers well: a list that
+    /// is wrong then withdraws nobody.
+    fn note_gone(&mut self, s: usize) {
+        let may_stay = self.dropped_may_stay;
+        if let Some(s) = self.servers.get_mut(&s)
+            && !(may_stay && s.ready() && s.health > 0.0)
+        {
+            s.standing = Standing::Gone;
+        }
+    }
+
     fn note_listed(&mut self, l: &Listed, at_start: bool) {
-        let now = self.now;
-        let fresh = l
-            .started_ms
-            .filter(|at| now - at < self.bounds.warm_after_ms);
-        let zones = self.cut.len();
-        let known = self.servers.contains_key(&l.server);
-        let server = self
-            .servers
-            .entry(l.server)
-            .or_insert_with(|| Server::new(zones));
-        if l.standing == Standing::Gone && self.bounds.dropped_may_stay && server.sound() {
-            return;
+        if l.standing == Standing::Gone {
+            return self.note_gone(l.server);
         }
-        let restarted = known && fresh.is_some() && l.started_ms != server.started;
-        let returned = server.standing != Standing::Ready && l.standing == Standing::Ready;
+        let (now, zones) = (self.now, self.cut.len());
+        let fresh = l.started_ms.filter(|at| now - at < self.warm_after_ms);
+        let known = self.servers.contains_key(&l.server);
+        let entry = self.servers.entry(l.server);
+        let server = entry.or_insert_with(|| Server::unknown(zones));
+        let returned = !server.ready() && l.standing == Standing::Ready;
+        let restarted = fresh.is_some() && l.started_ms != server.started;
         server.zone = l.zone;
         server.weight = if l.weight > 0.0 { l.weight } else { 1.0 };
         server.started = l.started_ms;
         server.standing = l.standing;
         if at_start && !known {
-            // Listed at our start: full weight, but for a server that the list says began lately.
+            // Listed at our start: full weight, but the list may say that it began lately.
             server.entered = fresh.unwrap_or(f64::NEG_INFINITY);
         } else if restarted || returned {
-            server.entered = now;
-            server.health = 1.0;
-            server.judged = now;
-            server.heard = now;
-            server.rings = vec![Default::default(); zones];
+            (server.entered, server.health, server.judged) = (now, 1.0, now);
+            server.views = vec![View::since(now); zones];
         }
     }
 
     pub fn roster_lost(&mut self, now: f64) -> Orders {
         self.now = now;
         self.ask_at = now + TICK_MS;
-        self.asks = true;
         self.settle()
     }
 
     pub fn proxy_joined(&mut self, now: f64, proxy: usize, zone: usize) -> Orders {
         self.now = now;
-        let fresh = Proxy {
-            zone,
-            bound: false,
-            unanswered: VecDeque::new(),
-            written: VecDeque::new(),
-        };
-        self.proxies.insert(proxy, fresh);
+        self.proxies.insert(proxy, Proxy::of(zone));
         self.settle()
     }
 
@@ -255,32 +208,19 @@
 
     pub fn orders_applied(&mut self, now: f64, proxy: usize, mark: u32) -> Orders {
         self.now = now;
-        if let Some(p) = self.proxies.get_mut(&proxy)
-            && let Some(at) = p.unanswered.iter().position(|(m, _)| *m == mark)
-        {
-            p.unanswered.drain(..=at);
+        if let Some(p) = self.proxies.get_mut(&proxy) {
+            p.answered(mark);
         }
         self.settle()
     }
 
     pub fn tries_met(&mut self, now: f64, met: &Met) -> Orders {
-        self.now = now;
-        self.news = now;
-        let stamp = (now / self.bounds.bucket_ms) as u64;
-        if met.tries > 0.0
-            && let Some(server) = self.servers.get_mut(&met.server)
+        (self.now, self.news) = (now, now);
+        let stamp = self.stamp();
+        if let Some(server) = self.servers.get_mut(&met.server)
+            && met.tries > 0.0
         {
-            server.heard = now;
-            let bucket = &mut server.rings[met.zone][stamp as usize % RING];
-            if bucket.stamp != stamp {
-                *bucket = Bucket {
-                    stamp,
-                    ..Bucket::default()
-                };
-            }
-            bucket.tries += met.tries;
-            bucket.failed += met.failed;
-            bucket.good_ms += met.mean_ms * (met.tries - met.failed).max(0.0);
+            server.views[met.zone].note(now, stamp, met);
         }
         self.settle()
     }
@@ -292,8 +232,10 @@
 
     pub fn probe_answered(&mut self, now: f64, server: usize, fine: bool) -> Orders {
         self.now = now;
-        if let Some(server) = self.servers.get_mut(&server) {
-            server.probed = if fine { now } else { f64::NEG_INFINITY };
+        if let Some(server) = self.servers.get_mut(&server)
+            && fine
+        {
+            server.answered = now;
         }
         self.settle()
     }
@@ -303,24 +245,23 @@
         self.settle()
     }
 
-    // ---- the rules ----
+    // ---- the rules: each is a condition and an effect that ends it ----
 
     fn ask_for_the_list(&mut self) -> bool {
-        let due = self.asks && self.now >= self.ask_at;
+        let due = self.now >= self.ask_at;
         if due {
+            self.ask_at = f64::INFINITY;
             self.out.ask_list = true;
-            self.asks = false;
         }
         due
     }
 
+    /// Draining or gone: withdrawn at once, from whatever tables the proxies hold; but never bare.
     fn withdraw_what_is_not_ready(&mut self) -> bool {
-        if !self.may_write(1.0) {
+        if self.bare() || !self.may_write(1.0, 1.0) {
             return false;
         }
-        let Some((s, server)) = find(&mut self.servers, |s| {
-            s.standing != Standing::Ready && !s.withdrawn
-        }) else {
+        let Some((s, server)) = self.find(|s| !s.ready() && !s.withdrawn) else {
             return false;
         };
         server.withdrawn = true;
@@ -329,9 +270,7 @@
     }
 
     fn allow_what_is_ready_again(&mut self) -> bool {
-        let Some((s, server)) = find(&mut self.servers, |s| {
-            s.standing == Standing::Ready && s.withdrawn
-        }) else {
+        let Some((s, server)) = self.find(|s| s.ready() && s.withdrawn) else {
             return false;
         };
         server.withdrawn = false;
@@ -339,179 +278,162 @@
         true
     }
 
-    /// Guards against a cut between zones: when every joined proxy is elsewhere and most servers of
-    /// a zone neither answer nor are heard of, the link is at fault, not the servers.
+    /// Guards against a cut between zones: no proxy of a zone is joined, and most servers there are
+    /// silent or failing for the rest. The link is at fault, not the servers: they leave the table
+    /// together, keep their health, and come back together. Also meets a whole zone without power.
+    /// May harm when a zone without proxies has several truly sick servers.
     fn see_a_cut_link(&mut self) -> bool {
-        for zone in 0..self.cut.len() {
-            if self.cut[zone] || self.proxies.values().any(|p| p.zone == zone) {
-                continue;
-            }
-            let there = self.ready().filter(|s| s.zone == zone && s.health > 0.0);
-            let all = self.ready().filter(|s| s.zone == zone).count();
-            let bad = all
-                - there
-                    .filter(|s| !self.silent(s) && !self.failing(s))
-                    .count();
-            let elsewhere = self
-                .ready()
-                .any(|s| s.zone != zone && s.health > 0.0 && !self.cut[s.zone]);
-            if all > 0 && elsewhere && 3 * bad >= 2 * all && !self.proxies.is_empty() {
-                self.cut[zone] = true;
-                let now = self.now;
-                for s in self.servers.values_mut().filter(|s| s.zone == zone) {
-                    (s.health, s.judged, s.heard, s.probed) = (1.0, now, now, f64::NEG_INFINITY);
-                }
-                self.out.notes.push(format!("zone {zone} is cut off"));
-                return true;
-            }
-        }
-        false
+        let lost = |s: &&Server| s.health == 0.0 || self.silent(s) || self.failing(s);
+        let off = |zone: &usize| {
+            let there = || self.ready().filter(|s| s.zone == *zone);
+            let bad = there().filter(lost).count();
+            let rest = self.ready().any(|s| s.zone != *zone && !self.cut[s.zone]);
+            let apart = !self.cut[*zone] && !self.joined(*zone) && rest;
+            apart && bad > 0 && 3 * bad >= 2 * there().count()
+        };
+        let zones = if self.proxies.is_empty() {
+            0
+        } else {
+            self.cut.len()
+        };
+        let Some(zone) = (0..zones).find(off) else {
+            return false;
+        };
+        self.forgive(zone, true, "is cut off");
+        true
     }
 
     /// The way back from a cut: a proxy of that zone has joined, or a server there answers a probe.
+    /// The servers never stopped, so they do not go through the ramp.
     fn see_a_link_mended(&mut self) -> bool {
-        for zone in 0..self.cut.len() {
-            let answers = |s: &Server| s.zone == zone && s.probed > f64::NEG_INFINITY;
-            let joined = self.proxies.values().any(|p| p.zone == zone);
-            if self.cut[zone] && (joined || self.ready().any(answers)) {
-                self.cut[zone] = false;
-                let now = self.now;
-                for s in self.servers.values_mut().filter(|s| s.zone == zone) {
-                    (s.judged, s.heard, s.least, s.least_since) = (now, now, 0.0, now);
-                }
-                self.tick = now;
-                self.out.notes.push(format!("zone {zone} is reached again"));
-                return true;
-            }
-        }
-        false
+        let answers = |zone| {
+            self.ready()
+                .any(|s| s.zone == zone && s.answered > s.judged)
+        };
+        let mended = |zone: &usize| self.cut[*zone] && (self.joined(*zone) || answers(*zone));
+        let Some(zone) = (0..self.cut.len()).find(mended) else {
+            return false;
+        };
+        self.tick = self.now;
+        self.forgive(zone, false, "is reached again");
+        true
     }
 
     /// Guards against servers that take visits and answer none: nothing comes back at all, long
-    /// before the first time-outs show.
+    /// before the first time-outs show. Also meets machines that vanish while the list still has
+    /// them. May harm a server that stands still for seconds and would have come back.
     fn put_out_the_silent(&mut self) -> bool {
-        self.judge(|p, s| p.silent(s), 0.0, "silent")
+        self.judge(Planner::silent, 0.0, "silent")
     }
 
-    /// Guards against servers that fail much more than the fleet does.
+    /// Guards against servers that fail much more than the fleet does, fast or late. May harm when
+    /// one class fails by itself and comes to few servers.
     fn put_out_the_failing(&mut self) -> bool {
-        self.judge(|p, s| p.failing(s), 0.0, "failing")
+        self.judge(Planner::failing, 0.0, "failing")
     }
 
-    /// Guards against servers lastingly slower than the fleet: a step down at a time.
+    /// Guards against servers lastingly slower than the fleet, or listed too heavy: a step down at a
+    /// time. May harm when costly visits fall on one server by chance.
     fn trim_the_slow(&mut self) -> bool {
-        self.judge(
-            |p, s| p.slow(s, SLOW, 1.0) && s.health > TRIM_LEAST,
-            TRIM,
-            "slow",
-        )
-    }
-
-    fn let_the_recovered_return(&mut self) -> bool {
-        let (now, hold, probes) = (self.now, self.bounds.ramp_ms, self.bounds.may_probe);
-        let done = |s: &Server| {
-            let time_out = hold / 2.0 * f64::from(1 << s.relapses.min(RELAPSES));
-            s.standing == Standing::Ready && s.health == 0.0 && now - s.judged > time_out
-        };
-        if let Some((_, s)) = find(&mut self.servers, |s| {
-            done(s) && (!probes || s.probed > s.judged)
-        }) {
-            (s.health, s.entered, s.heard, s.judged) = (1.0, now, now, now);
-            s.relapses += 1;
-            return true;
-        }
-        let done = |s: &Server| {
-            let time_out = hold * f64::from(1 << s.relapses.min(RELAPSES));
-            s.health > 0.0 && s.health < 1.0 && now - s.judged > time_out
-        };
-        let fit = self
-            .servers
-            .iter()
-            .find(|(_, s)| done(s) && !self.slow(s, SLOW / 2.0, 0.6));
-        let Some(s) = fit.map(|(s, _)| *s) else {
+        let slow = |p: &Planner, s: &Server| s.health > TRIM_LEAST && p.slow(s, SLOW);
+        self.judge(slow, TRIM, "slow")
+    }
+
+    /// Back from out, through the ramp: after a time that doubles with each relapse, and only when
+    /// a probe is answered. An answer alone proves little, since probes may be shallow.
+    fn let_the_put_out_return(&mut self) -> bool {
+        let (now, ask) = (self.now, self.may_probe);
+        let hold = HOLD_TICKS * TICK_MS * (1.0 + 0.1 * self.chance.draw());
+        let out = |s: &Server| s.ready() && s.health == 0.0 && now - s.judged > hold * longer(s);
+        let back = |s: &Server| out(s) && (!ask || s.answered > s.judged);
+        let Some((_, server)) = self.find(back) else {
             return false;
         };
-        if let Some(s) = self.servers.get_mut(&s) {
-            s.health = (s.health / TRIM).min(1.0);
-            s.judged = now;
-            s.relapses += 1;
-        }
+        (server.health, server.entered, server.judged) = (1.0, now, now);
+        server.relapses += 1;
         true
     }
 
-    /// What must fall falls at once: withdrawn, restarted or judged servers do not wait for the tick.
-    fn lower_lines_at_once(&mut self) -> bool {
-        if !self.may_write(1.0) || self.targets().is_empty() {
-            return false;
-        }
-        let low: Vec<(usize, f64)> = self
-            .targets()
-            .into_iter()
-            .filter(|(s, t)| *t < self.servers[s].line * 0.6)
-            .collect();
-        let bare = low.len() == self.servers.values().filter(|s| s.line > 0.0).count();
-        if low.is_empty() {
+    fn let_the_trimmed_grow(&mut self) -> bool {
+        let (now, hold) = (self.now, RAMP_TICKS * TICK_MS);
+        let held = |s: &Server| now - s.judged > hold * longer(s);
+        let fit = |s: &Server| s.health > 0.0 && s.health < 1.0 && held(s);
+        let fit = |s: &Server| fit(s) && !self.slow(s, SLOW / 2.0);
+        let found = self.servers.iter().find(|(_, s)| fit(s));
+        let found = found.map(|(s, _)| *s);
+        let Some(server) = found.and_then(|s| self.servers.get_mut(&s)) else {
             return false;
-        }
-        if bare {
-            self.tick = self.now;
-            return self.publish_on_the_tick();
-        }
-        self.write_lines(&low);
+        };
+        server.health = (server.health / TRIM).min(1.0);
+        server.judged = now;
+        server.relapses += 1;
         true
     }
 
-    fn order_ways_to_try(&mut self) -> bool {
-        if self.ways == self.ways_sent || !self.bounds.tables || !self.may_write(1.0) {
+    /// Further tries after proof that the first never ran, everywhere: they repeat no effect. And
+    /// where a deployment can refuse, a guard against overload: the least earnings go first.
+    fn set_levels_and_tries(&mut self) -> bool {
+        if self.may_refuse && self.now - self.level_since >= TICK_MS {
+            let heavy = self.strained(OVERLOAD);
+            let level = if heavy {
+                self.level * 0.8
+            } else {
+                self.level + 0.1
+            };
+            (self.level, self.level_since) = (level.clamp(0.1, 1.0), self.now);
+        }
+        let share = |cheap: &f64| (self.level.powf(*cheap), Tries::OnProof);
+        let ways: Vec<_> = self.cheapness.iter().map(share).collect();
+        if ways == self.ways || !self.has_tables || !self.may_write(ways.len() as f64, 0.5) {
             return false;
         }
-        for (class, way) in self.ways.iter().enumerate() {
-            if *way != self.ways_sent[class] {
+        for (class, way) in ways.iter().enumerate() {
+            if self.ways[class] != *way {
                 self.out.levels.push((class, way.0, way.1));
             }
         }
-        self.ways_sent = self.ways.clone();
+        self.ways = ways;
         true
     }
 
+    /// What must fall far falls at once: restarted or judged servers do not wait for the tick.
+    fn lower_lines_at_once(&mut self) -> bool {
+        let targets = self.targets();
+        let stay = |(s, t): &(usize, f64)| *t > 0.0 && self.servers[s].line > 0.0;
+        if !targets.iter().any(stay) {
+            return false;
+        }
+        let low = |(s, t): &(usize, f64)| *t < self.servers[s].line * 0.7;
+        let fallen = targets.into_iter().filter(low).collect();
+        self.write_lines(fallen, 1.0)
+    }
+
     /// The shared table: listed weight times ramp times health, changed lines only, on the tick.
-    /// An empty table does not wait for it.
+    /// An empty table, or one with nothing that may stay, does not wait for it.
     fn publish_on_the_tick(&mut self) -> bool {
-        let empty = !self.servers.values().any(|s| s.line > 0.0);
-        if self.now < self.tick && !empty {
+        let due = self.now >= self.tick;
+        if !due && !self.bare() {
             return false;
         }
-        let targets = self.targets();
         let off = |(s, t): &(usize, f64)| {
             let line = self.servers[s].line;
             (t - line).abs() > LINE_SLACK * line || (*t == 0.0) != (line == 0.0)
         };
-        let changed: Vec<(usize, f64)> = targets.into_iter().filter(off).collect();
-        let due = self.now >= self.tick;
+        let changed = self.targets().into_iter().filter(off).collect();
         if due {
             self.tick = self.now + TICK_MS;
         }
-        if !changed.is_empty() && self.bounds.tables && self.may_write(changed.len() as f64) {
-            self.write_lines(&changed);
-            return true;
-        }
-        due
+        self.write_lines(changed, 0.5) || due
     }
 
+    /// A proxy that still waits keeps the table it holds.
     fn bind_waiting_proxies(&mut self) -> bool {
-        let lines = self
-            .servers
-            .values()
-            .filter(|s| s.line > 0.0 || s.withdrawn)
-            .count()
-            + self.ways.len()
-            + 1;
-        let empty = !self.servers.values().any(|s| s.line > 0.0);
-        let waiting = self.waiting() + lines as f64 + self.bounds.message_lines;
-        if empty || !self.bounds.tables || waiting > self.bounds.half_backlog {
+        let room = self.may_write(self.table_lines(), 0.5);
+        if !self.has_tables || self.bare() || self.ready().next().is_none() || !room {
             return false;
         }
-        let Some((p, proxy)) = self.proxies.iter_mut().find(|(_, p)| !p.bound) else {
+        let waiting = self.proxies.iter_mut().find(|(_, p)| !p.bound);
+        let Some((p, proxy)) = waiting else {
             return false;
         };
         proxy.bound = true;
@@ -521,157 +443,138 @@
 
     /// Silence is not health: a server that is out, or beyond a cut, is asked before it returns.
     fn probe_the_doubtful(&mut self) -> bool {
-        if !self.bounds.may_probe {
+        let (now, may, cut) = (self.now, self.may_probe, self.cut.clone());
+        let doubtful = |s: &Server| s.ready() && (s.health == 0.0 || cut[s.zone]);
+        let due = |s: &Server| may && doubtful(s) && now - s.asked >= TICK_MS / 2.0;
+        let Some((s, server)) = self.find(due) else {
             return false;
-        }
-        let (now, cut) = (self.now, self.cut.clone());
-        let doubtful = |s: &Server| {
-            let asked = now - s.probed.abs() < TICK_MS;
-            let _ = asked;
-            s.standing == Standing::Ready
-                && (s.health == 0.0 || cut[s.zone])
-                && now - s.heard >= TICK_MS
         };
-        let Some((s, server)) = find(&mut self.servers, doubtful) else {
-            return false;
-        };
-        server.heard = now;
+        server.asked = now;
         self.out.probes.push(s);
         true
     }
 
     // ---- what the rules go by ----
 
+    fn find(&mut self, test: impl Fn(&Server) -> bool) -> Option<(usize, &mut Server)> {
+        let found = self.servers.iter_mut().find(|(_, s)| test(s));
+        found.map(|(i, s)| (*i, s))
+    }
+
     fn ready(&self) -> impl Iterator<Item = &Server> {
-        self.servers
-            .values()
-            .filter(|s| s.standing == Standing::Ready)
+        self.servers.values().filter(|s| s.ready())
     }
 
-    /// Tries, failed ones and the time of good ones at a server in the last buckets.
-    fn met(&self, server: &Server) -> (f64, f64, f64) {
-        let oldest = ((self.now / self.bounds.bucket_ms) as u64).saturating_sub(WINDOW - 1);
-        let buckets = server.rings.iter().flatten().filter(|b| b.stamp >= oldest);
-        buckets.fold((0.0, 0.0, 0.0), |a, b| {
-            (a.0 + b.tries, a.1 + b.failed, a.2 + b.good_ms)
-        })
+    fn joined(&self, zone: usize) -> bool {
+        self.proxies.values().any(|p| p.zone == zone)
     }
 
-    /// The fleet's norm: the median failing share and the median time of good tries.
-    fn norm(&self) -> (f64, f64) {
-        let met: Vec<_> = self
-            .ready()
-            .filter(|s| s.line > 0.0)
-            .map(|s| self.met(s))
-            .filter(|m| m.0 > 0.0)
-            .collect();
-        let failing = met.iter().map(|m| m.1 / m.0).collect();
-        let times = met
-            .iter()
-            .filter(|m| m.0 > m.1)
-            .map(|m| m.2 / (m.0 - m.1))
-            .collect();
-        (median(failing), median(times))
-    }
-
-    /// Visits a second that a weight of 1 brings.
-    fn pace(&self) -> f64 {
-        let heard = self
-            .ready()
-            .filter(|s| s.line > 0.0)
-            .map(|s| (self.met(s).0, s.line));
-        let (tries, lines) = heard
-            .filter(|m| m.0 > 0.0)
-            .fold((0.0, 0.0), |a, m| (a.0 + m.0, a.1 + m.1));
-        if lines > 0.0 {
-            tries / lines / (self.bounds.bucket_ms * WINDOW as f64)
-        } else {
-            0.0
-        }
+    /// No line is left to pick, though a server is ready.
+    fn bare(&self) -> bool {
+        self.ready().next().is_some() && !self.ready().any(|s| s.line > 0.0)
     }
 
-    fn silent(&self, s: &Server) -> bool {
-        let least = if self.now - s.least_since > 2.0 * TICK_MS {
-            s.line
-        } else {
-            s.line.min(s.least)
-        };
-        let quiet = self.news - s.heard;
-        quiet > (2.0 * self.bounds.bucket_ms).max(4.0 * self.norm().1)
-            && quiet * least * self.pace() > ENOUGH
+    fn stamp(&self) -> u64 {
+        (self.now / self.bucket_ms) as u64
+    }
+
+    fn met(&self, s: &Server) -> Bucket {
+        s.sum(self.stamp(), LATELY)
     }
 
-    /// The fleet as a whole is slow or failing: what one server loses the others cannot carry.
-    fn strained(&self) -> bool {
-        let norm = self.norm();
-        norm.0 > 0.1 || norm.1 > self.bounds.strained_ms
+    /// The fleet's norm: the median failing share and the median time of good tries.
+    fn norm(&self) -> (f64, f64) {
+        let used = self.ready().filter(|s| s.line > 0.0);
+        let met: Vec<_> = used.map(|s| self.met(s)).collect();
+        let tried = met.iter().filter(|m| m.tries > 0.0);
+        let good = met.iter().filter(|m| m.tries > m.failed);
+        let failing = tried.map(Bucket::share_failed).collect();
+        (median(failing), median(good.map(Bucket::mean_ms).collect()))
     }
 
+    /// The fleet as a whole is slow or failing: what one server loses the others could not carry.
+    fn strained(&self, part: f64) -> bool {
+        let (failing, time) = self.norm();
+        failing > STRAIN_FAILING || time > self.tight_ms * part
+    }
+
+    fn silent(&self, s: &Server) -> bool {
+        let used = self.ready().filter(|o| o.line > 0.0);
+        let met = used.map(|o| (self.met(o).tries, o.line));
+        let met = met.filter(|o| o.0 > 0.0);
+        let sum = met.fold((0.0, f64::MIN_POSITIVE), |a, o| (a.0 + o.0, a.1 + o.1));
+        let pace = sum.0 / sum.1 / (self.bucket_ms * LATELY as f64);
+        let moved = self.now - s.line_since < TICK_MS;
+        let line = s.line.min(if moved { s.line_before } else { s.line });
+        let quiet = self.news - s.heard();
+        let long = (2.0 * self.bucket_ms).max(4.0 * self.norm().1);
+        quiet > long && quiet * line * pace > ENOUGH
+    }
+
+    /// Failing for every zone that has sent it enough: failures seen from one zone only point to a
+    /// link.
     fn failing(&self, s: &Server) -> bool {
-        let (tries, failed, _) = self.met(s);
-        tries >= ENOUGH && failed / tries >= FAILING.max(self.norm().0 * SLOW)
-    }
-
-    fn slow(&self, s: &Server, times: f64, part: f64) -> bool {
-        let (tries, failed, good_ms) = self.met(s);
-        let mean = good_ms / (tries - failed).max(1.0);
-        tries - failed >= ENOUGH
-            && mean > times * self.norm().1
-            && mean > self.bounds.strained_ms * part
-    }
-
-    /// Takes health from the first server that the verdict is on, within what may be ejected.
-    fn judge(
-        &mut self,
-        verdict: impl Fn(&Planner, &Server) -> bool,
-        keep: f64,
-        word: &str,
-    ) -> bool {
-        let window = self.bounds.bucket_ms * WINDOW as f64;
+        let least = FAILING.max(self.norm().0 * SLOW);
+        let bad = |b: &Bucket| b.share_failed() >= least;
+        let views = s.views.iter().map(|v| v.sum(self.stamp(), LATELY));
+        let mut tried = views.filter(|b| b.tries >= ENOUGH / 2.0);
+        let all = self.met(s);
+        all.tries >= ENOUGH && bad(&all) && tried.all(|b| bad(&b))
+    }
+
+    /// Slow in each of the last buckets, so that one costly visit does not count.
+    fn slow(&self, s: &Server, times: f64) -> bool {
+        let bar = (times * self.norm().1).max(self.tight_ms * STRAIN);
+        let past = (1..=LASTING).map(|back| self.stamp().saturating_sub(back));
+        let mut each = past.map(|at| s.sum(at, 1));
+        self.met(s).tries >= ENOUGH && each.all(|b| b.mean_ms() > bar)
+    }
+
+    /// Takes health from the first server that the verdict is on: only in a fleet that is not
+    /// strained, and within what may be ejected. Evidence against most of the fleet at once is not
+    /// taken for a fault of each server.
+    fn judge(&mut self, bad: impl Fn(&Planner, &Server) -> bool, keep: f64, word: &str) -> bool {
+        let window = self.bucket_ms * LATELY as f64;
         let all: f64 = self.ready().map(|s| s.weight).sum();
-        let gone: f64 = self.ready().map(|s| s.weight * (1.0 - s.health)).sum();
+        let gone = self.ready().map(|s| s.weight * (1.0 - s.health));
+        let room = all * MOST_EJECTED - gone.sum::<f64>();
         let guilty = |s: &Server| {
+            let fits = s.weight * s.health * (1.0 - keep) <= room;
             let settled = self.now - s.judged > window || s.health == 1.0;
-            let room = gone + s.weight * s.health * (1.0 - keep) <= all * MOST_EJECTED;
-            s.standing == Standing::Ready
-                && s.line > 0.0
-                && s.health > 0.0
-                && !self.cut[s.zone]
-                && settled
-                && room
-                && verdict(self, s)
+            let used = s.ready() && s.line > 0.0 && s.health > 0.0 && !self.cut[s.zone];
+            used && fits && settled && bad(self, s)
         };
-        let Some(s) = self
-            .servers
-            .iter()
-            .find(|(_, s)| guilty(s))
-            .map(|(s, _)| *s)
-        else {
+        let found = self.servers.iter().find(|(_, s)| guilty(s));
+        let Some(s) = found.map(|(i, _)| *i).filter(|_| !self.strained(STRAIN)) else {
             return false;
         };
-        let now = self.now;
         if let Some(server) = self.servers.get_mut(&s) {
-            server.health *= keep;
-            (server.judged, server.probed) = (now, f64::NEG_INFINITY);
-            self.out
-                .notes
-                .push(format!("server {s} is {word}: health {:.2}", server.health));
+            (server.health, server.judged) = (server.health * keep, self.now);
+            let left = server.health;
+            let note = format!("server {s} is {word}: health {left:.2}");
+            self.out.notes.push(note);
         }
         true
     }
 
-    /// What each line ought to be.
+    /// Clears the record of a zone's servers: what was seen there was the link.
+    fn forgive(&mut self, zone: usize, cut: bool, word: &str) {
+        self.cut[zone] = cut;
+        for s in self.servers.values_mut().filter(|s| s.zone == zone) {
+            (s.health, s.judged, s.line_since) = (1.0, self.now, self.now);
+            s.views.fill(View::since(self.now));
+        }
+        self.out.notes.push(format!("zone {zone} {word}"));
+    }
+
+    /// What each line ought to be. A cold server's part of the table stays within what it can do.
     fn targets(&self) -> Vec<(usize, f64)> {
-        let b = &self.bounds;
-        let all: f64 = self.ready().map(|s| s.weight).sum();
-        let whole = |s: &Server| {
-            let ramp = RAMP_FLOOR + (1.0 - RAMP_FLOOR) * (self.now - s.entered) / b.ramp_ms;
-            if s.standing == Standing::Ready {
-                s.weight * ramp.min(1.0)
-            } else {
-                0.0
-            }
+        let ramp = |s: &Server| {
+            let gone = (self.now - s.entered) / (RAMP_TICKS * TICK_MS);
+            (RAMP_FLOOR + (1.0 - RAMP_FLOOR) * gone).min(1.0)
         };
+        let open = |s: &Server| if s.ready() { s.weight } else { 0.0 };
+        let whole = |s: &Server| open(s) * ramp(s);
         let judged = |s: &Server| {
             if self.cut[s.zone] {
                 0.0
@@ -679,89 +582,75 @@
                 whole(s) * s.health
             }
         };
-        let sum: f64 = self.servers.values().map(judged).sum();
-        let line = |s: &Server| if sum > 0.0 { judged(s) } else { whole(s) };
+        let some = self.servers.values().any(|s| judged(s) > 0.0);
+        let line = |s: &Server| if some { judged(s) } else { whole(s) };
         let total: f64 = self.servers.values().map(line).sum();
+        let all: f64 = self.servers.values().map(open).sum();
         let capped = |s: &Server| {
-            // A cold server's part of the table stays within what it can do by then.
             let age = s.started.map_or(f64::INFINITY, |at| self.now - at);
-            let able = b.cold_share + (1.0 - b.cold_share) * (age / b.warm_after_ms).min(1.0);
-            let most = if able < 1.0 {
-                s.weight * total / all * b.fall_multiple * able / 3.0
+            let warm = (age / self.warm_after_ms).min(1.0);
+            let able = self.cold_share + (1.0 - self.cold_share) * warm;
+            let most = s.weight * total / all * able * self.cold_excess;
+            if warm < 1.0 {
+                line(s).min(most)
             } else {
-                f64::INFINITY
-            };
-            line(s).min(most)
+                line(s)
+            }
         };
         self.servers.iter().map(|(i, s)| (*i, capped(s))).collect()
     }
 
-    fn write_lines(&mut self, lines: &[(usize, f64)]) {
+    fn write_lines(&mut self, lines: Vec<(usize, f64)>, part: f64) -> bool {
+        let room = self.may_write(lines.len() as f64, part);
+        if lines.is_empty() || !self.has_tables || !room {
+            return false;
+        }
         for (s, target) in lines {
-            let Some(server) = self.servers.get_mut(s) else {
-                continue;
-            };
-            if server.line == 0.0 {
-                server.heard = self.now;
+            if let Some(server) = self.servers.get_mut(&s) {
+                server.write(self.now, target);
+                self.out.lines.retain(|(other, _)| *other != s);
+                self.out.lines.push((s, target));
             }
-            if self.now - server.least_since > 2.0 * TICK_MS || server.line < server.least {
-                (server.least, server.least_since) = (server.line, self.now);
-            }
-            server.line = *target;
-            self.out.lines.retain(|(o, _)| o != s);
-            self.out.lines.push((*s, *target));
         }
+        true
     }
 
-    /// Lines that wait in the channel at most: all that no proxy has answered for.
-    fn waiting(&self) -> f64 {
-        self.proxies
-            .values()
-            .flat_map(|p| &p.unanswered)
-            .map(|u| u.1)
-            .sum()
+    /// Lines of the whole table, its levels and its withdrawals.
+    fn table_lines(&self) -> f64 {
+        let kept = self.servers.values();
+        let lines = kept.filter(|s| s.line > 0.0 || s.withdrawn).count();
+        (lines + self.ways.len()) as f64
     }
 
-    fn may_write(&self, lines: f64) -> bool {
-        let full = |p: &Proxy| {
-            let lately = p
-                .written
-                .iter()
-                .filter(|at| self.now - **at < self.bounds.message_span_ms)
-                .count();
-            self.bounds.most_messages > 0 && lately * 3 >= self.bounds.most_messages * 2
-        };
-        let message = (lines + self.bounds.message_lines + 1.0) * self.proxies.len() as f64;
-        !self.proxies.values().any(full) && self.waiting() + message <= self.bounds.half_backlog
+    /// Pacing: all lines that no proxy has answered for may still wait in the channel, and each
+    /// proxy is written only so many messages. What can wait leaves part of both free.
+    fn may_write(&self, lines: f64, part: f64) -> bool {
+        let most = (self.most_messages - 1.0) * part.max(0.7);
+        let lately = |p: &Proxy| p.messages(self.now, self.message_span_ms);
+        let waiting: f64 = self.proxies.values().map(Proxy::waiting).sum();
+        let message = (lines + self.message_lines) * self.proxies.len() as f64;
+        let mut proxies = self.proxies.values();
+        waiting + message <= self.most_waiting * part && proxies.all(|p| lately(p) < most)
     }
 
-    /// Goes through the rules until none fires, then closes the message.
+    /// Goes through the rules until none fires, then closes the message and sets the alarm.
     fn settle(&mut self) -> Orders {
         while RULES.iter().any(|rule| rule(self)) {}
-        let common = self.out.lines.len() + self.out.levels.len() + self.out.withdrawals.len();
-        let (now, span) = (self.now, self.bounds.message_span_ms);
-        let table = self
-            .servers
-            .values()
-            .filter(|s| s.line > 0.0 || s.withdrawn)
-            .count()
-            + self.ways.len()
-            + 1;
-        if common > 0 || !self.out.binds.is_empty() {
+        let out = &self.out;
+        let common = (out.lines.len() + out.levels.len() + out.withdrawals.len()) as f64;
+        let whole = self.table_lines();
+        if common > 0.0 || !self.out.binds.is_empty() {
             self.mark = (self.mark + 1) % 65536;
             self.out.mark = Some(self.mark);
             for (i, p) in &mut self.proxies {
-                let bound = self.out.binds.contains(i);
-                if common > 0 && p.bound || bound {
-                    let own = if bound { table } else { 0 };
-                    let lines = (common + own) as f64 + self.bounds.message_lines + 1.0;
-                    p.unanswered.push_back((self.mark, lines));
-                    if p.written.back() != Some(&now) {
-                        p.written.push_back(now);
-                    }
-                    while p.written.front().is_some_and(|at| now - at > span) {
-                        p.written.pop_front();
-                    }
+                let own = if self.out.binds.contains(i) {
+                    whole
+                } else {
+                    0.0
+                };
+                if common + own > 0.0 {
+                    let lines = common + own + self.message_lines;
+                    p.wrote(self.now, self.message_span_ms, self.mark, lines);
                 }
             }
         }
@@ -769,63 +658,11 @@
             self.alarm = self.tick;
             self.out.wake_at = Some(self.tick);
         }
-        let _ = (self.begun, self.bounds.zone);
         std::mem::take(&mut self.out)
     }
-
-    /// Multiply with carry.
-    #[allow(dead_code)]
-    fn chance(&mut self) -> f64 {
-        let (x, c) = self.chance;
-        let next = u64::from(x) * 4_294_957_665 + u64::from(c);
-        self.chance = (next as u32, (next >> 32) as u32);
-        f64::from(self.chance.0) / 4_294_967_296.0
-    }
-}
-
-impl Server {
-    fn new(zones: usize) -> Server {
-        Server {
-            zone: 0,
-            standing: Standing::Gone,
-            weight: 1.0,
-            started: None,
-            entered: f64::NEG_INFINITY,
-            withdrawn: false,
-            health: 1.0,
-            judged: f64::NEG_INFINITY,
-            relapses: 0,
-            probed: f64::NEG_INFINITY,
-            line: 0.0,
-            least: 0.0,
-            least_since: f64::NEG_INFINITY,
-            heard: f64::INFINITY,
-            rings: vec![Default::default(); zones],
-        }
-    }
-
-    fn sound(&self) -> bool {
-        self.standing == Standing::Ready && self.health > 0.0
-    }
-}
-
-impl Tries {
-    fn max_with(self, other: Tries) -> Tries {
-        if self < other { other } else { self }
-    }
-}
-
-fn find(
-    servers: &mut BTreeMap<usize, Server>,
-    test: impl Fn(&Server) -> bool,
-) -> Option<(usize, &mut Server)> {
-    servers
-        .iter_mut()
-        .find(|(_, s)| test(s))
-        .map(|(i, s)| (*i, s))
 }
 
-fn median(mut values: Vec<f64>) -> f64 {
-    values.sort_by(f64::total_cmp);
-    values.get(values.len() / 2).copied().unwrap_or(0.0)
+/// How much longer a server stays out or trimmed: flapping must not regain weight.
+fn longer(s: &Server) -> f64 {
+    f64::from(1 << s.relapses.min(RELAPSES))
 }
