A cold server's line stays within a budget of tries it can carry

The budget goes by the tries the fleet carried unstrained, the present pace, and what warm servers still answer.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,6 +39,8 @@
 const TRIM_LEAST: f64 = 0.1;
 /// Of the listed weight of ready servers, what health may take away at most.
 const MOST_EJECTED: f64 = 0.35;
+/// The part of what pushes a cold server over that its line may bring.
+const COLD_PART: f64 = 0.4;
 /// Ticks that a server is put out for, and how often a relapse doubles that.
 const HOLD_TICKS: f64 = 2.5;
 const RELAPSES: u32 = 3;
@@ -55,6 +57,8 @@
     ways: Vec<(f64, Tries)>,
     /// By class, how often the level is taken times itself: the least earnings go first.
     cheapness: Vec<f64>,
+    /// The most tries by millisecond and weight that the fleet has carried without strain.
+    carried: f64,
     /// Derived from the opening.
     bucket_ms: f64,
     tight_ms: f64,
@@ -114,6 +118,7 @@
             level_since: now,
             ways: vec![(1.0, told.usual_tries); told.classes.len()],
             cheapness: earnings.map(|e| dear / e.max(dear / 8.0)).collect(),
+            carried: 0.0,
             bucket_ms: told.report_every_ms.max(TICK_MS / 2.0),
             tight_ms: limits.fold(f64::INFINITY, f64::min),
             most_waiting: told.most_waiting,
@@ -122,7 +127,7 @@
             message_span_ms: told.message_span_ms,
             cold_share: told.cold_share,
             warm_after_ms: told.warm_after_ms,
-            cold_excess: told.fall_multiple / 3.0,
+            cold_excess: told.fall_multiple * COLD_PART / told.draws,
             dropped_may_stay: told.dropped_may_stay,
             may_probe: told.may_probe,
             may_refuse: told.admission == Admission::Share,
@@ -222,6 +227,16 @@
         {
             server.views[met.zone].note(now, stamp, met);
         }
+        let weight: f64 = self
+            .ready()
+            .filter(|s| s.line > 0.0)
+            .map(|s| s.weight)
+            .sum();
+        if !self.strained(STRAIN) {
+            self.carried = self
+                .carried
+                .max(self.pace() / weight.max(f64::MIN_POSITIVE));
+        }
         self.settle()
     }
 
@@ -567,14 +582,14 @@
         self.out.notes.push(format!("zone {zone} {word}"));
     }
 
-    /// What each line ought to be. A cold server's part of the table stays within what it can do.
+    /// What each line ought to be: listed weight times ramp times health, and no cold server's line
+    /// beyond its budget. If nothing is left, health and cuts are set aside.
     fn targets(&self) -> Vec<(usize, f64)> {
         let ramp = |s: &Server| {
             let gone = (self.now - s.entered) / (RAMP_TICKS * TICK_MS);
             (RAMP_FLOOR + (1.0 - RAMP_FLOOR) * gone).min(1.0)
         };
-        let open = |s: &Server| if s.ready() { s.weight } else { 0.0 };
-        let whole = |s: &Server| open(s) * ramp(s);
+        let whole = |s: &Server| if s.ready() { s.weight * ramp(s) } else { 0.0 };
         let judged = |s: &Server| {
             if self.cut[s.zone] {
                 0.0
@@ -584,15 +599,16 @@
         };
         let some = self.servers.values().any(|s| judged(s) > 0.0);
         let line = |s: &Server| if some { judged(s) } else { whole(s) };
-        let total: f64 = self.servers.values().map(line).sum();
-        let all: f64 = self.servers.values().map(open).sum();
+        // Proxies avoid what fails, so only what the warm servers answer counts as their part.
+        let takes = |s: &Server| line(s) * (1.0 - self.met(s).share_failed());
+        let warm = self.servers.values().filter(|s| self.able(s) == 1.0);
+        let warm = warm.map(takes).sum::<f64>();
+        let any = self.ready().any(|s| self.able(s) == 1.0 && line(s) > 0.0);
         let capped = |s: &Server| {
-            let age = s.started.map_or(f64::INFINITY, |at| self.now - at);
-            let warm = (age / self.warm_after_ms).min(1.0);
-            let able = self.cold_share + (1.0 - self.cold_share) * warm;
-            let most = s.weight * total / all * able * self.cold_excess;
-            if warm < 1.0 {
-                line(s).min(most)
+            let most = warm * self.carried * s.weight * self.able(s) * self.cold_excess;
+            let cold = self.able(s) < 1.0 && any;
+            if cold {
+                line(s).min(most / self.pace())
             } else {
                 line(s)
             }
@@ -600,6 +616,19 @@
         self.servers.iter().map(|(i, s)| (*i, capped(s))).collect()
     }
 
+    /// What part of its work a server that started lately can do at the least.
+    fn able(&self, s: &Server) -> f64 {
+        let age = s.started.map_or(f64::INFINITY, |at| self.now - at);
+        let warm = (age / self.warm_after_ms).min(1.0);
+        self.cold_share + (1.0 - self.cold_share) * warm
+    }
+
+    /// Tries of all proxies lately, by millisecond: clients that come again are among them.
+    fn pace(&self) -> f64 {
+        let tries = self.servers.values().map(|s| self.met(s).tries);
+        tries.sum::<f64>() / (self.bucket_ms * (LATELY - 1) as f64)
+    }
+
     fn write_lines(&mut self, lines: Vec<(usize, f64)>, part: f64) -> bool {
         let room = self.may_write(lines.len() as f64, part);
         if lines.is_empty() || !self.has_tables || !room {
