--- a/src/rules.rs
+++ b/src/rules.rs
@@ -293,25 +293,27 @@
         true
     }
 
-    /// Guards against a cut between zones: no proxy of a zone is joined, and most servers there are
-    /// silent or failing for the rest. The link is at fault, not the servers: they leave the table
-    /// together, keep their health, and come back together. Also meets a whole zone without power.
-    /// May harm when a zone without proxies has several truly sick servers.
+    /// Guards against a cut between zones: no proxy of a zone is joined, and next to nothing comes
+    /// back from its servers to the others. The link is at fault, not the servers: they leave the
+    /// table together, keep their health, and come back together. Also meets a whole zone without
+    /// power. May harm when a zone without proxies has few servers and all are truly sick.
     fn see_a_cut_link(&mut self) -> bool {
-        let lost = |s: &&Server| s.health == 0.0 || self.silent(s) || self.failing(s);
         let off = |zone: &usize| {
-            let there = || self.ready().filter(|s| s.zone == *zone);
-            let bad = there().filter(lost).count();
-            let rest = self.ready().any(|s| s.zone != *zone && !self.cut[s.zone]);
-            let apart = !self.cut[*zone] && !self.joined(*zone) && rest;
-            apart && bad > 0 && 3 * bad >= 2 * there().count()
-        };
-        let zones = if self.proxies.is_empty() {
-            0
-        } else {
-            self.cut.len()
+            let good = |there: bool| {
+                let servers = self
+                    .ready()
+                    .filter(|s| (s.zone == *zone) == there && s.line > 0.0);
+                servers.fold((0.0, 0.0), |a, s| {
+                    let met = s.seen_from_outside(*zone, self.stamp(), LATELY - 1);
+                    (a.0 + met.tries - met.failed, a.1 + s.line)
+                })
+            };
+            let (there, here) = (good(true), good(false));
+            let expected = here.0 * there.1 / here.1.max(f64::MIN_POSITIVE);
+            let apart = !self.cut[*zone] && !self.joined(*zone);
+            apart && expected >= ENOUGH && there.0 < expected * STRAIN_FAILING
         };
-        let Some(zone) = (0..zones).find(off) else {
+        let Some(zone) = (0..self.cut.len()).find(off) else {
             return false;
         };
         self.forgive(zone, true, "is cut off");
--- a/src/state.rs
+++ b/src/state.rs
@@ -126,6 +126,12 @@
         sums.fold(Bucket::default(), |a, b| a.and(&b))
     }
 
+    /// What the proxies of all zones but one met.
+    pub fn seen_from_outside(&self, zone: usize, last: u64, many: u64) -> Bucket {
+        let views = self.views.iter().enumerate().filter(|(z, _)| *z != zone);
+        views.fold(Bucket::default(), |a, (_, v)| a.and(&v.sum(last, many)))
+    }
+
     pub fn write(&mut self, now: f64, line: f64) {
         (self.line_before, self.line_since) = (self.line, now);
         self.line = line;
