--- a/src/rules.rs
+++ b/src/rules.rs
@@ -361,6 +361,11 @@
     fn let_the_put_out_return(&mut self) -> bool {
         let (now, ask) = (self.now, self.may_probe);
         let hold = HOLD_TICKS * TICK_MS * (1.0 + 0.1 * self.chance.draw());
+        let hold = if self.strained(STRAIN) {
+            hold / 4.0
+        } else {
+            hold
+        };
         let out = |s: &Server| s.ready() && s.health == 0.0 && now - s.judged > hold * longer(s);
         let back = |s: &Server| out(s) && (!ask || s.answered > s.judged);
         let Some((_, server)) = self.find(back) else {
