--- a/src/rules.rs
+++ b/src/rules.rs
@@ -40,7 +40,7 @@
 /// Of the listed weight of ready servers, what health may take away at most.
 const MOST_EJECTED: f64 = 0.35;
 /// The part of what pushes a cold server over that its line may bring.
-const COLD_PART: f64 = 0.4;
+const COLD_PART: f64 = 0.25;
 /// Ticks that a server is put out for, and how often a relapse doubles that.
 const HOLD_TICKS: f64 = 2.5;
 const RELAPSES: u32 = 3;
