--- a/src/rules.rs
+++ b/src/rules.rs
@@ -10,7 +10,7 @@
 //! that a cut link is not taken for many sick servers; the way back; levels and tries; the table
 //! and who is bound to it; and last the probes, which cost something.
 
-use crate::state::{Bucket, Chance, Proxy, Server, View, median};
+use crate::state::{Bucket, Chance, Proxy, Server, View, ranked};
 use crate::{Admission, Extent, Listed, Met, Opening, Orders, Standing, Tries};
 use std::collections::BTreeMap;
 
@@ -30,6 +30,10 @@
 /// Slow: so many times the fleet's norm, and over STRAIN of the tightest soft limit.
 const SLOW: f64 = 2.0;
 const STRAIN: f64 = 0.4;
+const LAG: f64 = 0.6;
+/// Ranks in the fleet that it is judged by: the median server, and the best quarter's last.
+const HALF: f64 = 0.5;
+const QUARTER: f64 = 0.25;
 /// Overload: the fleet's median time over this share of the tightest soft limit.
 const OVERLOAD: f64 = 0.9;
 /// The fleet is strained, too, when its median server fails this share.
@@ -84,6 +88,7 @@
 }
 
 type Rule = fn(&mut Planner) -> bool;
+type Verdict = fn(&Planner, &Server) -> bool;
 
 const RULES: [Rule; 15] = [
     Planner::ask_for_the_list,
@@ -232,7 +237,7 @@
             .filter(|s| s.line > 0.0)
             .map(|s| s.weight)
             .sum();
-        if !self.strained(STRAIN) {
+        if !self.strained(HALF, STRAIN) {
             self.carried = self
                 .carried
                 .max(self.pace() / weight.max(f64::MIN_POSITIVE));
@@ -340,20 +345,20 @@
     /// before the first time-outs show. Also meets machines that vanish while the list still has
     /// them. May harm a server that stands still for seconds and would have come back.
     fn put_out_the_silent(&mut self) -> bool {
-        self.judge(Planner::silent, 0.0, "silent")
+        self.judge(Planner::silent, 0.0, HALF, "silent")
     }
 
     /// Guards against servers that fail much more than the fleet does, fast or late. May harm when
     /// one class fails by itself and comes to few servers.
     fn put_out_the_failing(&mut self) -> bool {
-        self.judge(Planner::failing, 0.0, "failing")
+        self.judge(Planner::failing, 0.0, HALF, "failing")
     }
 
     /// Guards against servers lastingly slower than the fleet, or listed too heavy: a step down at a
     /// time. May harm when costly visits fall on one server by chance.
     fn trim_the_slow(&mut self) -> bool {
-        let slow = |p: &Planner, s: &Server| s.health > TRIM_LEAST && p.slow(s, SLOW);
-        self.judge(slow, TRIM, "slow")
+        let slow: Verdict = |p, s| s.health > TRIM_LEAST && p.slow(s, SLOW);
+        self.judge(slow, TRIM, QUARTER, "slow")
     }
 
     /// Back from out, through the ramp: after a time that doubles with each relapse, and only when
@@ -361,7 +366,7 @@
     fn let_the_put_out_return(&mut self) -> bool {
         let (now, ask) = (self.now, self.may_probe);
         let hold = HOLD_TICKS * TICK_MS * (1.0 + 0.1 * self.chance.draw());
-        let hold = if self.strained(STRAIN) {
+        let hold = if self.strained(HALF, STRAIN) {
             hold / 4.0
         } else {
             hold
@@ -396,7 +401,7 @@
     /// where a deployment can refuse, a guard against overload: the least earnings go first.
     fn set_levels_and_tries(&mut self) -> bool {
         if self.may_refuse && self.now - self.level_since >= TICK_MS {
-            let heavy = self.strained(OVERLOAD);
+            let heavy = self.strained(HALF, OVERLOAD);
             let level = if heavy {
                 self.level * 0.8
             } else {
@@ -504,20 +509,22 @@
         s.sum(self.stamp(), LATELY)
     }
 
-    /// The fleet's norm: the median failing share and the median time of good tries.
-    fn norm(&self) -> (f64, f64) {
+    /// The fleet's norm, failing share and time of good tries, at a part of the servers in order:
+    /// a half is the median server, a quarter the one that a quarter of them are better than.
+    fn norm(&self, part: f64) -> (f64, f64) {
         let used = self.ready().filter(|s| s.line > 0.0);
         let met: Vec<_> = used.map(|s| self.met(s)).collect();
         let tried = met.iter().filter(|m| m.tries > 0.0);
         let good = met.iter().filter(|m| m.tries > m.failed);
         let failing = tried.map(Bucket::share_failed).collect();
-        (median(failing), median(good.map(Bucket::mean_ms).collect()))
+        let times = good.map(Bucket::mean_ms).collect();
+        (ranked(failing, part), ranked(times, part))
     }
 
     /// The fleet as a whole is slow or failing: what one server loses the others could not carry.
-    fn strained(&self, part: f64) -> bool {
-        let (failing, time) = self.norm();
-        failing > STRAIN_FAILING || time > self.tight_ms * part
+    fn strained(&self, part: f64, limit: f64) -> bool {
+        let (failing, time) = self.norm(part);
+        failing > STRAIN_FAILING || time > self.tight_ms * limit
     }
 
     fn silent(&self, s: &Server) -> bool {
@@ -529,14 +536,14 @@
         let moved = self.now - s.line_since < TICK_MS;
         let line = s.line.min(if moved { s.line_before } else { s.line });
         let quiet = self.news - s.heard();
-        let long = (2.0 * self.bucket_ms).max(4.0 * self.norm().1);
+        let long = (2.0 * self.bucket_ms).max(4.0 * self.norm(HALF).1);
         quiet > long && quiet * line * pace > ENOUGH
     }
 
     /// Failing for every zone that has sent it enough: failures seen from one zone only point to a
     /// link.
     fn failing(&self, s: &Server) -> bool {
-        let least = FAILING.max(self.norm().0 * SLOW);
+        let least = FAILING.max(self.norm(HALF).0 * SLOW);
         let bad = |b: &Bucket| b.share_failed() >= least;
         let views = s.views.iter().map(|v| v.sum(self.stamp(), LATELY));
         let mut tried = views.filter(|b| b.tries >= ENOUGH / 2.0);
@@ -546,7 +553,7 @@
 
     /// Slow in each of the last buckets, so that one costly visit does not count.
     fn slow(&self, s: &Server, times: f64) -> bool {
-        let bar = (times * self.norm().1).max(self.tight_ms * STRAIN);
+        let bar = (times * self.norm(QUARTER).1).max(self.tight_ms * LAG);
         let past = (1..=LASTING).map(|back| self.stamp().saturating_sub(back));
         let mut each = past.map(|at| s.sum(at, 1));
         self.met(s).tries >= ENOUGH && each.all(|b| b.mean_ms() > bar)
@@ -555,7 +562,7 @@
     /// Takes health from the first server that the verdict is on: only in a fleet that is not
     /// strained, and within what may be ejected. Evidence against most of the fleet at once is not
     /// taken for a fault of each server.
-    fn judge(&mut self, bad: impl Fn(&Planner, &Server) -> bool, keep: f64, word: &str) -> bool {
+    fn judge(&mut self, bad: Verdict, keep: f64, rank: f64, word: &str) -> bool {
         let window = self.bucket_ms * LATELY as f64;
         let all: f64 = self.ready().map(|s| s.weight).sum();
         let gone = self.ready().map(|s| s.weight * (1.0 - s.health));
@@ -567,7 +574,10 @@
             used && fits && settled && bad(self, s)
         };
         let found = self.servers.iter().find(|(_, s)| guilty(s));
-        let Some(s) = found.map(|(i, _)| *i).filter(|_| !self.strained(STRAIN)) else {
+        let Some(s) = found
+            .map(|(i, _)| *i)
+            .filter(|_| !self.strained(rank, STRAIN))
+        else {
             return false;
         };
         if let Some(server) = self.servers.get_mut(&s) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -193,7 +193,9 @@
     }
 }
 
-pub fn median(mut values: Vec<f64>) -> f64 {
+/// The value that a part of the others lie below; 0 without any.
+pub fn ranked(mut values: Vec<f64>, part: f64) -> f64 {
     values.sort_by(f64::total_cmp);
-    values.get(values.len() / 2).copied().unwrap_or(0.0)
+    let at = (values.len() as f64 * part) as usize;
+    values.get(at).copied().unwrap_or(0.0)
 }
