Bar for slowness at half the tightest soft limit; no line for a cold server in a jam

A budget under half the ramp's floor now means no line; the server comes in once others answer or it is warm.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -30,7 +30,7 @@
 /// Slow: so many times the fleet's norm, and over STRAIN of the tightest soft limit.
 const SLOW: f64 = 2.0;
 const STRAIN: f64 = 0.4;
-const LAG: f64 = 0.6;
+const LAG: f64 = 0.5;
 /// Ranks in the fleet that it is judged by: the median server, and the best quarter's last.
 const HALF: f64 = 0.5;
 const QUARTER: f64 = 0.25;
@@ -622,10 +622,12 @@
         let warm = warm.map(takes).sum::<f64>();
         let any = self.ready().any(|s| self.able(s) == 1.0 && line(s) > 0.0);
         let capped = |s: &Server| {
-            let most = warm * self.carried * s.weight * self.able(s) * self.cold_excess;
+            let part = warm * self.carried * self.able(s) * self.cold_excess / self.pace();
             let cold = self.able(s) < 1.0 && any;
+            // Where next to nothing else is answered, any line at all would draw everything.
+            let part = if part < RAMP_FLOOR / 2.0 { 0.0 } else { part };
             if cold {
-                line(s).min(most / self.pace())
+                line(s).min(part * s.weight)
             } else {
                 line(s)
             }
