An overloaded server is trimmed, not put out

Should also hold for neighbours taking part of a machine; may keep a truly broken and slow server in the table for longer.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -541,14 +541,15 @@
     }
 
     /// Failing for every zone that has sent it enough: failures seen from one zone only point to a
-    /// link.
+    /// link. One whose good answers have been slow is overloaded, not broken: others would be next.
     fn failing(&self, s: &Server) -> bool {
         let least = FAILING.max(self.norm(HALF).0 * SLOW);
         let bad = |b: &Bucket| b.share_failed() >= least;
         let views = s.views.iter().map(|v| v.sum(self.stamp(), LATELY));
         let mut tried = views.filter(|b| b.tries >= ENOUGH / 2.0);
-        let all = self.met(s);
-        all.tries >= ENOUGH && bad(&all) && tried.all(|b| bad(&b))
+        let (all, long) = (self.met(s), s.sum(self.stamp(), u64::MAX));
+        let broken = long.mean_ms() <= self.tight_ms * LAG;
+        broken && all.tries >= ENOUGH && bad(&all) && tried.all(|b| bad(&b))
     }
 
     /// Slow in each of the last buckets, so that one costly visit does not count.
