--- a/src/rules.rs
+++ b/src/rules.rs
@@ -77,8 +77,10 @@
     may_probe: bool,
     may_refuse: bool,
     has_tables: bool,
-    /// Times of the last report, the next tick, the alarm set, and the next asking for the list.
+    /// Times of the last round of reports heard out, of the newest, of the next tick, of the alarm
+    /// set, and of the next asking for the list.
     news: f64,
+    newest: f64,
     tick: f64,
     alarm: f64,
     ask_at: f64,
@@ -138,6 +140,7 @@
             may_refuse: told.admission == Admission::Share,
             has_tables: !told.sliced,
             news: now,
+            newest: now,
             tick: now + TICK_MS,
             alarm: now,
             ask_at: if told.must_ask { now } else { f64::INFINITY },
@@ -225,7 +228,10 @@
     }
 
     pub fn tries_met(&mut self, now: f64, met: &Met) -> Orders {
-        (self.now, self.news) = (now, now);
+        self.now = now;
+        if self.newest < now {
+            (self.news, self.newest) = (self.newest, now);
+        }
         let stamp = self.stamp();
         if let Some(server) = self.servers.get_mut(&met.server)
             && met.tries > 0.0
