The cold budget tightens only in overload proper

The budget is now 0.4 of what pushes a server over, and less by the draws only when the median nears the soft limit.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,7 +44,7 @@
 /// Of the listed weight of ready servers, what health may take away at most.
 const MOST_EJECTED: f64 = 0.35;
 /// The part of what pushes a cold server over that its line may bring.
-const COLD_PART: f64 = 0.25;
+const COLD_PART: f64 = 0.4;
 /// Ticks that a server is put out for, and how often a relapse doubles that.
 const HOLD_TICKS: f64 = 2.5;
 const RELAPSES: u32 = 3;
@@ -73,6 +73,7 @@
     cold_share: f64,
     warm_after_ms: f64,
     cold_excess: f64,
+    draws: f64,
     dropped_may_stay: bool,
     may_probe: bool,
     may_refuse: bool,
@@ -134,7 +135,8 @@
             message_span_ms: told.message_span_ms,
             cold_share: told.cold_share,
             warm_after_ms: told.warm_after_ms,
-            cold_excess: told.fall_multiple * COLD_PART / told.draws,
+            cold_excess: told.fall_multiple * COLD_PART,
+            draws: told.draws,
             dropped_may_stay: told.dropped_may_stay,
             may_probe: told.may_probe,
             may_refuse: told.admission == Admission::Share,
@@ -628,8 +630,10 @@
         let warm = self.servers.values().filter(|s| self.able(s) == 1.0);
         let warm = warm.map(takes).sum::<f64>();
         let any = self.ready().any(|s| self.able(s) == 1.0 && line(s) > 0.0);
+        let strained = self.strained(HALF, OVERLOAD);
+        let excess = self.cold_excess / if strained { self.draws * 1.6 } else { 1.0 };
         let capped = |s: &Server| {
-            let part = warm * self.carried * self.able(s) * self.cold_excess / self.pace();
+            let part = warm * self.carried * self.able(s) * excess / self.pace();
             let cold = self.able(s) < 1.0 && any;
             // Where next to nothing else is answered, any line at all would draw everything.
             let part = if part < RAMP_FLOOR / 2.0 { 0.0 } else { part };
