--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -23,7 +23,7 @@
     pub fn of(value: &'a Value, what: &str, name: &'a str) -> Result<Self, String> {
         let map = value.as_object();
         map.map(|map| Fields { map, name })
-            .ok_or_else(|| format!("a {what} is an object"))
+            .ok_or_else(|| format!("{what} is not an object"))
     }
 
     pub fn wrong(&self, field: &str, wanted: &str) -> String {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -556,7 +556,7 @@
         let views = s.views.iter().map(|v| v.sum(self.stamp(), LATELY));
         let mut tried = views.filter(|b| b.tries >= ENOUGH / 2.0);
         let (all, long) = (self.met(s), s.sum(self.stamp(), u64::MAX));
-        let broken = long.mean_ms() <= self.tight_ms * LAG;
+        let broken = long.mean_ms().max(all.mean_ms()) <= self.tight_ms * LAG;
         broken && all.tries >= ENOUGH && bad(&all) && tried.all(|b| bad(&b))
     }
 
--- /dev/null
+++ b/tests/planner.rs
@@ -0,0 +1,501 @@
+//! The planner against tables of cases, without any bench: what was told, what it ordered.
+
+use dahliapoint::rules::Planner;
+use dahliapoint::{
+    Admission, Class, Extent, Listed, Met, Opening, Orders, Repeat, Standing, Tries,
+};
+use std::collections::BTreeMap;
+
+fn opening() -> Opening {
+    let class = |earnings, repeat| Class {
+        soft_limit_ms: 1000.0,
+        hard_limit_ms: 3000.0,
+        earnings,
+        repeat,
+    };
+    Opening {
+        zone: 0,
+        zones: 2,
+        classes: vec![class(1.0, Repeat::Pure), class(2.0, Repeat::SideEffect)],
+        admission: Admission::Unused,
+        most_waiting: 10_000.0,
+        message_lines: 4.0,
+        most_messages: 0.0,
+        message_span_ms: 10_000.0,
+        report_every_ms: 1000.0,
+        cold_share: 0.2,
+        warm_after_ms: 16_000.0,
+        fall_multiple: 3.0,
+        draws: 1.0,
+        dropped_may_stay: false,
+        usual_tries: Tries::Never,
+        try_soft_limits: 1.0,
+        may_probe: true,
+        must_ask: false,
+        ask_within_ms: 10_000.0,
+        sliced: false,
+    }
+}
+
+/// A planner, and what the proxies would hold if every order arrived.
+struct Fleet {
+    planner: Planner,
+    now: f64,
+    table: BTreeMap<usize, f64>,
+    out: BTreeMap<usize, bool>,
+    bound: Vec<usize>,
+    levels: BTreeMap<usize, (f64, Tries)>,
+    probed: Vec<usize>,
+    messages: usize,
+    notes: Vec<String>,
+}
+
+fn listed(server: usize, standing: Standing, started_ms: Option<f64>) -> Listed {
+    Listed {
+        server,
+        zone: server % 2,
+        standing,
+        weight: 1.0,
+        started_ms,
+    }
+}
+
+impl Fleet {
+    /// So many ready servers, zones in turn, and two proxies in each zone.
+    fn of(servers: usize, told: &Opening) -> Fleet {
+        let mut fleet = Fleet::bare(told);
+        let roster: Vec<_> = (0..servers)
+            .map(|s| listed(s, Standing::Ready, None))
+            .collect();
+        fleet.list(Extent::Remembered, &roster);
+        for proxy in 0..4 {
+            let orders = fleet.planner.proxy_joined(fleet.now, proxy, proxy % 2);
+            fleet.carry(orders);
+        }
+        fleet
+    }
+
+    fn bare(told: &Opening) -> Fleet {
+        Fleet {
+            planner: Planner::begun(1e6, 7, told),
+            now: 1e6,
+            table: BTreeMap::new(),
+            out: BTreeMap::new(),
+            bound: Vec::new(),
+            levels: BTreeMap::new(),
+            probed: Vec::new(),
+            messages: 0,
+            notes: Vec::new(),
+        }
+    }
+
+    fn carry(&mut self, orders: Orders) {
+        self.messages += usize::from(orders.mark.is_some());
+        self.table.extend(orders.lines);
+        self.levels
+            .extend(orders.levels.iter().map(|l| (l.0, (l.1, l.2))));
+        self.out.extend(orders.withdrawals);
+        self.bound.extend(&orders.binds);
+        self.probed.extend(orders.probes);
+        self.notes.extend(orders.notes);
+        for proxy in 0..4 {
+            if let Some(mark) = orders.mark {
+                let more = self.planner.orders_applied(self.now, proxy, mark);
+                assert_eq!(more.lines, vec![], "an answer alone changes no line");
+            }
+        }
+    }
+
+    fn list(&mut self, extent: Extent, roster: &[Listed]) {
+        let orders = self.planner.roster_changed(self.now, extent, roster);
+        self.carry(orders);
+    }
+
+    /// Lets seconds pass; each second every server is met as `seen` says: tries, failed, mean time.
+    fn pass(&mut self, seconds: usize, seen: impl Fn(usize, usize) -> Option<(f64, f64, f64)>) {
+        for _ in 0..seconds {
+            self.now += 1000.0;
+            for server in 0..12 {
+                for zone in 0..2 {
+                    if let Some((tries, failed, mean_ms)) = seen(server, zone) {
+                        let met = Met {
+                            zone,
+                            server,
+                            tries,
+                            failed,
+                            mean_ms,
+                            ..Met::default()
+                        };
+                        let orders = self.planner.tries_met(self.now, &met);
+                        self.carry(orders);
+                    }
+                }
+            }
+            let orders = self.planner.woken(self.now);
+            self.carry(orders);
+        }
+    }
+
+    fn line(&self, server: usize) -> f64 {
+        let out = self.out.get(&server).copied().unwrap_or(false);
+        let line = self.table.get(&server).copied().unwrap_or(0.0);
+        if out { 0.0 } else { line }
+    }
+}
+
+const WELL: Option<(f64, f64, f64)> = Some((10.0, 0.0, 200.0));
+
+#[test]
+fn listed_at_the_start_means_full_weight_and_a_joining_proxy_is_bound() {
+    let fleet = Fleet::of(6, &opening());
+    assert!((0..6).all(|s| fleet.line(s) == 1.0));
+    assert_eq!(fleet.bound, vec![0, 1, 2, 3]);
+}
+
+#[test]
+fn admin_state_follows_the_list() {
+    let now = 1e6;
+    let cases = [
+        ("draining", Standing::Draining, None, 0.0, true),
+        ("gone", Standing::Gone, None, 0.0, true),
+        ("ready as before", Standing::Ready, None, 1.0, false),
+        ("started anew", Standing::Ready, Some(now), 0.1, false),
+    ];
+    for (case, standing, started, line, out) in cases {
+        let mut fleet = Fleet::of(6, &opening());
+        fleet.list(Extent::Changes, &[listed(2, standing, started)]);
+        assert_eq!(fleet.line(2), line, "{case}");
+        assert_eq!(fleet.out.get(&2).copied().unwrap_or(false), out, "{case}");
+        assert_eq!(fleet.line(3), 1.0, "{case}: the others stay");
+    }
+}
+
+#[test]
+fn a_server_dropped_from_a_whole_list_is_withdrawn_unless_it_may_stay() {
+    for may_stay in [false, true] {
+        let told = Opening {
+            dropped_may_stay: may_stay,
+            ..opening()
+        };
+        let mut fleet = Fleet::of(3, &told);
+        let kept = [
+            listed(0, Standing::Ready, None),
+            listed(1, Standing::Ready, None),
+        ];
+        fleet.list(Extent::Whole, &kept);
+        assert_eq!(fleet.line(2) == 1.0, may_stay);
+        fleet.list(Extent::Changes, &[listed(0, Standing::Draining, None)]);
+        assert_eq!(fleet.line(0), 0.0, "a drain binds in either case");
+    }
+}
+
+#[test]
+fn a_return_ramps_from_a_tenth_and_flapping_regains_nothing() {
+    let mut fleet = Fleet::of(6, &opening());
+    fleet.pass(4, |s, _| WELL.filter(|_| s < 6));
+    let mut before = 0.0;
+    for _ in 0..3 {
+        fleet.list(Extent::Changes, &[listed(0, Standing::Gone, None)]);
+        let back = listed(0, Standing::Ready, Some(fleet.now));
+        fleet.list(Extent::Changes, &[back]);
+        fleet.pass(2, |s, _| WELL.filter(|_| s < 6));
+        assert!(
+            fleet.line(0) > 0.0 && fleet.line(0) < 0.35,
+            "{}",
+            fleet.line(0)
+        );
+        before = fleet.line(0);
+    }
+    fleet.pass(16, |s, _| WELL.filter(|_| s < 6));
+    assert!(before < fleet.line(0) && fleet.line(0) == 1.0);
+}
+
+#[test]
+fn a_restarted_controller_takes_a_recent_start_for_cold_and_sends_drains_again() {
+    let mut fleet = Fleet::bare(&opening());
+    let cold = listed(0, Standing::Ready, Some(fleet.now - 1000.0));
+    let old = [1, 2, 3].map(|s| listed(s, Standing::Ready, Some(1000.0)));
+    let drains = listed(4, Standing::Draining, None);
+    fleet.list(Extent::Remembered, &[cold, old[0], old[1], old[2], drains]);
+    let orders = fleet.planner.proxy_joined(fleet.now, 0, 0);
+    fleet.carry(orders);
+    assert!(fleet.line(0) < 0.3 && fleet.line(1) == 1.0);
+    assert_eq!(fleet.out.get(&4), Some(&true));
+    assert_eq!(fleet.bound, vec![0]);
+}
+
+#[test]
+fn no_proxy_is_left_bare() {
+    let mut fleet = Fleet::of(2, &opening());
+    fleet.list(Extent::Changes, &[listed(0, Standing::Draining, None)]);
+    fleet.pass(8, |s, _| (s == 1).then_some((10.0, 10.0, 0.0)));
+    assert!(
+        fleet.line(1) > 0.0,
+        "the last server stays, however badly it does"
+    );
+    let fresh = listed(5, Standing::Ready, Some(fleet.now));
+    fleet.list(Extent::Changes, &[fresh, listed(1, Standing::Gone, None)]);
+    assert!(
+        fleet.line(5) > 0.0,
+        "even a cold one is a line where there is no other"
+    );
+    let empty = Fleet::of(0, &opening());
+    assert!(
+        empty.bound.is_empty(),
+        "a table without lines is bound to nobody"
+    );
+}
+
+#[test]
+fn evidence_moves_the_line_of_the_guilty_only() {
+    type Seen = Option<(f64, f64, f64)>;
+    let cases: [(&str, Seen, fn(f64) -> bool); 6] = [
+        ("fails fast", Some((10.0, 7.0, 50.0)), |l| l == 0.0),
+        (
+            "answers nothing, all time out",
+            Some((10.0, 10.0, 0.0)),
+            |l| l == 0.0,
+        ),
+        ("silent", None, |l| l == 0.0),
+        ("slow", Some((10.0, 0.0, 1500.0)), |l| 0.0 < l && l < 0.7),
+        (
+            "overloaded: slow and failing",
+            Some((10.0, 6.0, 1500.0)),
+            |l| 0.0 < l && l < 0.7,
+        ),
+        ("a failure now and then", Some((10.0, 1.0, 220.0)), |l| {
+            l == 1.0
+        }),
+    ];
+    for (case, seen, right) in cases {
+        let mut fleet = Fleet::of(8, &opening());
+        fleet.pass(4, |s, _| WELL.filter(|_| s < 8));
+        let during = |s, _| if s == 3 { seen } else { WELL.filter(|_| s < 8) };
+        fleet.pass(6, during);
+        assert!(
+            right(fleet.line(3)),
+            "{case}: {} {:?}",
+            fleet.line(3),
+            fleet.notes
+        );
+        assert!(
+            (0..8).filter(|s| *s != 3).all(|s| fleet.line(s) == 1.0),
+            "{case}"
+        );
+    }
+}
+
+#[test]
+fn evidence_against_most_of_the_fleet_is_not_a_fault_of_each() {
+    let cases = [
+        ("all slow", (10.0, 0.0, 1500.0)),
+        ("all failing", (10.0, 9.0, 300.0)),
+        ("none answers", (10.0, 10.0, 0.0)),
+    ];
+    for (case, seen) in cases {
+        let mut fleet = Fleet::of(8, &opening());
+        fleet.pass(4, |s, _| WELL.filter(|_| s < 8));
+        fleet.pass(8, |s, _| Some(seen).filter(|_| s < 8));
+        let lost = 8.0 - (0..8).map(|s| fleet.line(s)).sum::<f64>();
+        assert!(lost <= 0.35 * 8.0, "{case}: {lost} of 8 taken away");
+    }
+}
+
+#[test]
+fn one_half_read_round_of_reports_makes_nobody_silent() {
+    // A release day: the first lines of the first round were set against servers still unread.
+    let mut fleet = Fleet::of(8, &opening());
+    fleet.now += 3000.0;
+    for server in 0..8 {
+        let met = Met {
+            server,
+            tries: 40.0,
+            mean_ms: 100.0,
+            ..Met::default()
+        };
+        let orders = fleet.planner.tries_met(fleet.now, &met);
+        fleet.carry(orders);
+    }
+    assert_eq!(fleet.notes, Vec::<String>::new());
+}
+
+#[test]
+fn failures_seen_from_one_zone_only_point_to_a_link() {
+    let mut fleet = Fleet::of(8, &opening());
+    fleet.pass(4, |s, _| WELL.filter(|_| s < 8));
+    // Server 3 fails for zone 0 and does well for zone 1.
+    let seen = |s, zone| {
+        if (s, zone) == (3, 0) {
+            Some((10.0, 10.0, 0.0))
+        } else {
+            WELL
+        }
+    };
+    fleet.pass(4, |s, zone| seen(s, zone).filter(|_| s < 8));
+    assert_eq!(fleet.line(3), 1.0);
+}
+
+#[test]
+fn a_cut_zone_leaves_and_comes_back_as_one() {
+    let mut fleet = Fleet::of(8, &opening());
+    fleet.pass(4, |s, _| WELL.filter(|_| s < 8));
+    for proxy in [1, 3] {
+        let orders = fleet.planner.proxy_left(fleet.now, proxy);
+        fleet.carry(orders);
+    }
+    let near = |s: usize, zone: usize| WELL.filter(|_| s < 8 && s.is_multiple_of(2) && zone == 0);
+    fleet.pass(4, near);
+    assert!(
+        [1, 3, 5, 7].iter().all(|s| fleet.line(*s) == 0.0),
+        "{:?}",
+        fleet.notes
+    );
+    assert!([0, 2, 4, 6].iter().all(|s| fleet.line(*s) == 1.0));
+    assert!(fleet.probed.contains(&1), "the far servers are asked");
+    let orders = fleet.planner.proxy_joined(fleet.now, 1, 1);
+    fleet.carry(orders);
+    assert!(
+        (0..8).all(|s| fleet.line(s) == 1.0),
+        "back together, without a ramp"
+    );
+}
+
+#[test]
+fn silence_is_not_health_and_an_answer_leads_to_the_ramp() {
+    for answers in [false, true] {
+        let mut fleet = Fleet::of(8, &opening());
+        fleet.pass(4, |s, _| WELL.filter(|_| s < 8));
+        fleet.pass(5, |s, _| WELL.filter(|_| s < 8 && s != 3));
+        assert_eq!(fleet.line(3), 0.0);
+        assert!(fleet.probed.contains(&3));
+        let orders = fleet.planner.probe_answered(fleet.now, 3, answers);
+        fleet.carry(orders);
+        fleet.pass(5, |s, _| WELL.filter(|_| s < 8 && s != 3));
+        assert_eq!(fleet.line(3) > 0.0, answers);
+        assert!(fleet.line(3) < 0.5, "through the ramp");
+    }
+}
+
+#[test]
+fn a_cold_server_in_a_jam_is_kept_within_a_budget() {
+    // A vanished server came back while everything failed and clients came again.
+    let mut fleet = Fleet::of(8, &opening());
+    fleet.pass(6, |s, _| WELL.filter(|_| s < 8));
+    fleet.list(Extent::Changes, &[listed(0, Standing::Gone, None)]);
+    let jam = |s, _| Some((30.0, 27.0, 1800.0)).filter(|_| (1..8).contains(&s));
+    fleet.pass(4, jam);
+    let back = listed(0, Standing::Ready, Some(fleet.now));
+    fleet.list(Extent::Changes, &[back]);
+    for _ in 0..6 {
+        fleet.pass(2, jam);
+        let sum: f64 = (0..8).map(|s| fleet.line(s)).sum();
+        assert!(fleet.line(0) / sum < 0.02, "{} of {sum}", fleet.line(0));
+    }
+    fleet.pass(8, jam);
+    assert!(fleet.line(0) > 0.5, "warm by then");
+}
+
+#[test]
+fn further_tries_follow_proof_only_and_levels_spare_the_dear() {
+    for admission in [Admission::Unused, Admission::Share] {
+        let told = Opening {
+            admission,
+            ..opening()
+        };
+        let mut fleet = Fleet::of(8, &told);
+        fleet.pass(10, |s, _| Some((10.0, 4.0, 1500.0)).filter(|_| s < 8));
+        assert!(fleet.levels.values().all(|l| l.1 == Tries::OnProof));
+        let (cheap, dear) = (fleet.levels[&0].0, fleet.levels[&1].0);
+        if admission == Admission::Share {
+            assert!(cheap < dear && dear < 1.0, "{cheap} {dear}");
+            fleet.pass(30, |s, _| WELL.filter(|_| s < 8));
+            assert_eq!((fleet.levels[&0].0, fleet.levels[&1].0), (1.0, 1.0));
+        } else {
+            assert_eq!((cheap, dear), (1.0, 1.0));
+        }
+    }
+}
+
+#[test]
+fn pacing_keeps_the_queue_and_the_messages_short() {
+    // A channel that answers nothing: half the backlog and no more is written to.
+    let told = Opening {
+        most_waiting: 300.0,
+        ..opening()
+    };
+    let mut planner = Planner::begun(0.0, 1, &told);
+    let roster: Vec<_> = (0..10).map(|s| listed(s, Standing::Ready, None)).collect();
+    planner.roster_changed(0.0, Extent::Remembered, &roster);
+    let mut binds = Vec::new();
+    for proxy in 0..20 {
+        binds.extend(planner.proxy_joined(1.0, proxy, 0).binds);
+    }
+    assert!(!binds.is_empty() && binds.len() * 17 <= 150, "{binds:?}");
+    // Few messages to a proxy: a flapping list does not use them all up.
+    let told = Opening {
+        most_messages: 10.0,
+        ..opening()
+    };
+    let mut fleet = Fleet::of(6, &told);
+    fleet.messages = 0;
+    for round in 0..40 {
+        fleet.now += 200.0;
+        let standing = if round % 2 == 0 {
+            Standing::Gone
+        } else {
+            Standing::Ready
+        };
+        fleet.list(
+            Extent::Changes,
+            &[listed(round % 5, standing, Some(fleet.now))],
+        );
+    }
+    assert!(
+        fleet.messages <= 10,
+        "{} messages within 8 s",
+        fleet.messages
+    );
+}
+
+#[test]
+fn odd_input_is_taken_calmly() {
+    let mut fleet = Fleet::bare(&Opening {
+        classes: vec![],
+        ..opening()
+    });
+    let orders = fleet.planner.proxy_left(fleet.now, 9);
+    assert_eq!(orders.binds, Vec::<usize>::new());
+    let orders = fleet.planner.orders_applied(fleet.now, 9, 3);
+    assert_eq!(orders.lines, vec![]);
+    fleet.pass(3, |s, _| WELL.filter(|_| s == 11));
+    assert!(
+        fleet.table.is_empty(),
+        "a server that no list named gets no line"
+    );
+    let weightless = Listed {
+        weight: 0.0,
+        ..listed(0, Standing::Ready, None)
+    };
+    fleet.list(Extent::Whole, &[weightless]);
+    assert!(fleet.line(0) > 0.0, "a weight of 0 is no weight listed");
+    let orders = fleet.planner.proxy_joined(fleet.now, 1, 0);
+    assert_eq!(orders.binds, vec![1]);
+    let orders = fleet.planner.proxy_joined(fleet.now, 1, 0);
+    assert_eq!(
+        orders.binds,
+        vec![1],
+        "a proxy that joins twice is bound anew"
+    );
+}
+
+#[test]
+fn the_list_is_asked_for_where_it_must_be_and_again_when_lost() {
+    let mut fleet = Fleet::bare(&Opening {
+        must_ask: true,
+        ..opening()
+    });
+    assert!(fleet.planner.woken(fleet.now).ask_list);
+    assert!(!fleet.planner.woken(fleet.now + 1.0).ask_list);
+    fleet.planner.roster_lost(fleet.now + 2.0);
+    assert!(fleet.planner.woken(fleet.now + 4000.0).ask_list);
+}
