Unused figures out of the interface; further tries after any failure recorded and refused

Tried: a try after any failure for pure classes while the median is calm. Taken back; the module orders tries after proof only, for every class. Load reports and visit counts are checked and dropped: no decision uses them.

--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -146,29 +146,19 @@
             }
             "UpstreamStats" => {
                 f.whole("windowNs")?;
-                let load = f.load("telemetry")?;
+                f.load("telemetry")?;
                 let met = Met {
                     zone: f.below("campus", i.zones)? as usize,
                     tries: f.whole("n")? as f64,
                     failed: f.whole("bad")? as f64,
                     mean_ms: ms(f.whole("costTimeNs")?),
-                    waiting: load("backlog"),
-                    busy: load("utilization"),
-                    service_ms: load("recent_ms"),
                     server: i.place(f.below("backend", 1 << 32)?),
                 };
                 i.planner.tries_met(now, &met)
             }
-            "Ingress" => {
-                f.whole("windowNs")?;
-                f.below("agent", 65536)?;
-                let class = f.below("grade", i.classes)? as usize;
-                let (came, lost) = (f.whole("n")? as f64, f.whole("bad")? as f64);
-                i.planner.visits_came(now, class, came, lost)
-            }
             "HealthResult" => {
                 f.whole("costTimeNs")?;
-                let _report = f.load("telemetry")?;
+                f.load("telemetry")?;
                 let fine = match f.text("rc")? {
                     "ok" => true,
                     "error" | "full" | "timeout" | "connect_failed" | "reset" | "cancelled"
@@ -182,7 +172,14 @@
                 f.whole("ref")?;
                 i.planner.woken(now)
             }
-            // Slices and peers: taken, checked, and of no use to the planner so far.
+            // What came to proxies, slices and peers: taken, checked, and no decision uses them yet.
+            "Ingress" => {
+                for field in ["n", "bad", "windowNs", "agent"] {
+                    f.whole(field)?;
+                }
+                f.below("grade", i.classes)?;
+                return Ok(());
+            }
             "Custody" => {
                 f.whole("table")?;
                 f.flag("flag")?;
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -1,6 +1,6 @@
 //! Fields of the wire: read with a plain word on what is missing or of the wrong kind.
 
-use dahliapoint::{Admission, Class, Opening, Repeat, Standing, Tries};
+use dahliapoint::{Admission, Class, Opening, Standing, Tries};
 use serde::de::Error as _;
 use serde::{Deserialize, Deserializer};
 use serde_json::{Map, Value};
@@ -79,17 +79,16 @@
         self.get(field, "an object", |v| v.is_object().then(|| v.clone()))
     }
 
-    /// A load report; it may be missing, and may hold values that nobody here knows.
-    pub fn load(&self, field: &str) -> Result<impl Fn(&str) -> Option<f64> + use<'a>, String> {
-        let map = match self.map.get(field) {
-            None | Some(Value::Null) => None,
-            Some(Value::Object(map)) => Some(map),
-            Some(_) => return Err(self.wrong(field, "a load report")),
+    /// Checks a load report; it may be missing, and may hold values that nobody here knows. The
+    /// planner goes by what proxies met, so nothing is read from it.
+    pub fn load(&self, field: &str) -> Result<(), String> {
+        let fine = match self.map.get(field) {
+            None | Some(Value::Null) => true,
+            Some(Value::Object(map)) => map.values().all(|v| v.is_null() || v.is_number()),
+            Some(_) => false,
         };
-        if map.is_some_and(|m| m.values().any(|v| !v.is_null() && !v.is_number())) {
-            return Err(self.wrong(field, "a load report of numbers"));
-        }
-        Ok(move |name: &str| map.and_then(|m| m.get(name)).and_then(Value::as_f64))
+        let wrong = || self.wrong(field, "a load report of numbers");
+        fine.then_some(()).ok_or_else(wrong)
     }
 }
 
@@ -134,7 +133,6 @@
 struct Told {
     lanes: Vec<Lane>,
     zones: Vec<String>,
-    zone: u64,
     rules: Bounds,
     specifics: Facts,
     limits: Allowed,
@@ -147,24 +145,8 @@
 struct Lane {
     #[serde(deserialize_with = "time")]
     aim_ns: f64,
-    #[serde(deserialize_with = "time")]
-    deadline_ns: f64,
     #[serde(deserialize_with = "positive")]
     credit: f64,
-    effect: Effect,
-    #[serde(default)]
-    dedup_scope: String,
-    #[serde(default, deserialize_with = "time")]
-    key_ttl_ns: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum Effect {
-    Pure,
-    Token,
-    #[serde(rename = "side_effect")]
-    Once,
 }
 
 #[derive(Deserialize)]
@@ -176,8 +158,6 @@
     fall_multiple: f64,
     #[serde(deserialize_with = "time")]
     ramp_time_ns: f64,
-    #[serde(default, deserialize_with = "time")]
-    ask_within_ns: f64,
     #[serde(default)]
     soft_removal: bool,
 }
@@ -201,8 +181,6 @@
     reload_span_ns: f64,
     #[serde(deserialize_with = "time")]
     report_every_ns: f64,
-    #[serde(default, deserialize_with = "positive")]
-    try_aims: f64,
     #[serde(default)]
     shards: u64,
 }
@@ -230,28 +208,15 @@
 pub fn opening(settings: &Value) -> Result<Opening, String> {
     let told: Told = serde_path_to_error::deserialize(settings)
         .map_err(|e| format!("Born: field \"settings.{}\": {}", e.path(), e.inner()))?;
-    if told.zone as usize >= told.zones.len() {
-        return Err("Born: field \"settings.zone\" is not one of the zones".into());
-    }
     if told.lanes.len() > 32 {
         return Err("Born: field \"settings.lanes\" has more classes than a mask can name".into());
     }
     let class = |lane: &Lane| Class {
         soft_limit_ms: lane.aim_ns,
-        hard_limit_ms: lane.deadline_ns,
         earnings: lane.credit,
-        repeat: match (&lane.effect, lane.dedup_scope.as_str()) {
-            (Effect::Pure, _) => Repeat::Pure,
-            (Effect::Token, "all") => Repeat::TokenEverywhere {
-                for_ms: lane.key_ttl_ns,
-            },
-            (Effect::Token, _) => Repeat::TokenNearby,
-            (Effect::Once, _) => Repeat::SideEffect,
-        },
     };
     let (facts, bounds) = (&told.specifics, &told.rules);
     Ok(Opening {
-        zone: told.zone as usize,
         zones: told.zones.len(),
         classes: told.lanes.iter().map(class).collect(),
         admission: match facts.admit.as_str() {
@@ -273,10 +238,8 @@
             1 => Tries::OnProof,
             _ => Tries::OnFailure,
         },
-        try_soft_limits: facts.try_aims,
         may_probe: told.limits.probing,
         must_ask: told.registry_mode == "ask",
-        ask_within_ms: bounds.ask_within_ns,
         sliced: facts.shards > 0,
     })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,26 +7,11 @@
 pub mod rules;
 mod state;
 
-/// May a visit of a class run again?
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Repeat {
-    /// Any number of times.
-    Pure,
-    /// Repeats are thrown away by every server, for so long after the first try.
-    TokenEverywhere { for_ms: f64 },
-    /// Repeats are thrown away only by some servers: the rest would run it twice.
-    TokenNearby,
-    /// Never twice.
-    SideEffect,
-}
-
 /// A class of visits.
 #[derive(Clone, Copy, Debug)]
 pub struct Class {
     pub soft_limit_ms: f64,
-    pub hard_limit_ms: f64,
     pub earnings: f64,
-    pub repeat: Repeat,
 }
 
 /// How the proxies of a deployment take levels.
@@ -41,7 +26,6 @@
 /// What a planner is told when it begins; turned at once into the few figures that decisions use.
 #[derive(Clone, Debug)]
 pub struct Opening {
-    pub zone: usize,
     pub zones: usize,
     pub classes: Vec<Class>,
     pub admission: Admission,
@@ -65,12 +49,9 @@
     pub dropped_may_stay: bool,
     /// How proxies try again where no order says otherwise.
     pub usual_tries: Tries,
-    /// A try that may be followed after any failure waits this multiple of the soft limit.
-    pub try_soft_limits: f64,
     pub may_probe: bool,
     /// The list must be asked for.
     pub must_ask: bool,
-    pub ask_within_ms: f64,
     /// Tables belong to slices of keys; the shared table has no place there.
     pub sliced: bool,
 }
@@ -122,12 +103,6 @@
     pub failed: f64,
     /// Mean time of the tries that did not fail.
     pub mean_ms: f64,
-    /// Visits that wait at the server, if it says so.
-    pub waiting: Option<f64>,
-    /// How busy its cores are, 0 to 1, if it says so.
-    pub busy: Option<f64>,
-    /// Its own service time without waiting, if it says so.
-    pub service_ms: Option<f64>,
 }
 
 /// What a call leads to, to be carried out in the order of the fields, as one message a proxy.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -253,11 +253,6 @@
         self.settle()
     }
 
-    pub fn visits_came(&mut self, now: f64, _class: usize, _came: f64, _lost: f64) -> Orders {
-        self.now = now;
-        self.settle()
-    }
-
     pub fn probe_answered(&mut self, now: f64, server: usize, fine: bool) -> Orders {
         self.now = now;
         if let Some(server) = self.servers.get_mut(&server)
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -1,22 +1,17 @@
 //! The planner against tables of cases, without any bench: what was told, what it ordered.
 
 use dahliapoint::rules::Planner;
-use dahliapoint::{
-    Admission, Class, Extent, Listed, Met, Opening, Orders, Repeat, Standing, Tries,
-};
+use dahliapoint::{Admission, Class, Extent, Listed, Met, Opening, Orders, Standing, Tries};
 use std::collections::BTreeMap;
 
 fn opening() -> Opening {
-    let class = |earnings, repeat| Class {
+    let class = |earnings| Class {
         soft_limit_ms: 1000.0,
-        hard_limit_ms: 3000.0,
         earnings,
-        repeat,
     };
     Opening {
-        zone: 0,
         zones: 2,
-        classes: vec![class(1.0, Repeat::Pure), class(2.0, Repeat::SideEffect)],
+        classes: vec![class(1.0), class(2.0)],
         admission: Admission::Unused,
         most_waiting: 10_000.0,
         message_lines: 4.0,
@@ -29,10 +24,8 @@
         draws: 1.0,
         dropped_may_stay: false,
         usual_tries: Tries::Never,
-        try_soft_limits: 1.0,
         may_probe: true,
         must_ask: false,
-        ask_within_ms: 10_000.0,
         sliced: false,
     }
 }
@@ -124,7 +117,6 @@
                             tries,
                             failed,
                             mean_ms,
-                            ..Met::default()
                         };
                         let orders = self.planner.tries_met(self.now, &met);
                         self.carry(orders);
@@ -248,8 +240,8 @@
 
 #[test]
 fn evidence_moves_the_line_of_the_guilty_only() {
-    type Seen = Option<(f64, f64, f64)>;
-    let cases: [(&str, Seen, fn(f64) -> bool); 6] = [
+    type Case = (&'static str, Option<(f64, f64, f64)>, fn(f64) -> bool);
+    let cases: [Case; 6] = [
         ("fails fast", Some((10.0, 7.0, 50.0)), |l| l == 0.0),
         (
             "answers nothing, all time out",
