Silence judged when a round is heard out; cold budget from a controller's first moment

Silence: a server's own pace and its line at the others' pace must both say that five visits should have come; judged a moment after each round of reports. A cut counts put out servers as well.

--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -168,8 +168,6 @@
     #[serde(default)]
     admit: String,
     #[serde(default)]
-    choice: String,
-    #[serde(default)]
     base_mode: u64,
     #[serde(deserialize_with = "positive")]
     most_waiting: f64,
@@ -231,7 +229,6 @@
         cold_share: bounds.cold_from,
         warm_after_ms: bounds.ramp_time_ns,
         fall_multiple: bounds.fall_multiple,
-        draws: if facts.choice == "p2c" { 2.0 } else { 1.0 },
         dropped_may_stay: bounds.soft_removal,
         usual_tries: match facts.base_mode {
             0 => Tries::Never,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,8 +43,6 @@
     pub warm_after_ms: f64,
     /// ... and falls over at this multiple of what it can do.
     pub fall_multiple: f64,
-    /// Lines that a proxy draws for a visit, to take the one with less of its own work out.
-    pub draws: f64,
     /// A server merely dropped from the list may stay in tables.
     pub dropped_may_stay: bool,
     /// How proxies try again where no order says otherwise.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,6 +25,8 @@
 const LASTING: u64 = 3;
 /// Visits that a verdict needs: expected ones for silence, met ones for the rest.
 const ENOUGH: f64 = 8.0;
+/// Silent: for so many of the fleet's mean times at the least.
+const SILENT: f64 = 4.0;
 /// Failing: at least this share, and so many times the fleet's norm.
 const FAILING: f64 = 0.3;
 /// Slow: so many times the fleet's norm, and over STRAIN of the tightest soft limit.
@@ -43,8 +45,11 @@
 const TRIM_LEAST: f64 = 0.1;
 /// Of the listed weight of ready servers, what health may take away at most.
 const MOST_EJECTED: f64 = 0.35;
-/// The part of what pushes a cold server over that its line may bring.
+/// The part of what pushes a cold server over that its line may bring; what of that is left until
+/// the fleet's pace is known; and what it is divided by in overload.
 const COLD_PART: f64 = 0.4;
+const UNKNOWN_ROOM: f64 = 0.25;
+const COLD_CAUTION: f64 = 3.0;
 /// Ticks that a server is put out for, and how often a relapse doubles that.
 const HOLD_TICKS: f64 = 2.5;
 const RELAPSES: u32 = 3;
@@ -73,7 +78,6 @@
     cold_share: f64,
     warm_after_ms: f64,
     cold_excess: f64,
-    draws: f64,
     dropped_may_stay: bool,
     may_probe: bool,
     may_refuse: bool,
@@ -136,7 +140,6 @@
             cold_share: told.cold_share,
             warm_after_ms: told.warm_after_ms,
             cold_excess: told.fall_multiple * COLD_PART,
-            draws: told.draws,
             dropped_may_stay: told.dropped_may_stay,
             may_probe: told.may_probe,
             may_refuse: told.admission == Admission::Share,
@@ -231,24 +234,18 @@
 
     pub fn tries_met(&mut self, now: f64, met: &Met) -> Orders {
         self.now = now;
-        if self.newest < now {
-            (self.news, self.newest) = (self.newest, now);
-        }
+        self.hear_out();
+        self.newest = now;
         let stamp = self.stamp();
         if let Some(server) = self.servers.get_mut(&met.server)
             && met.tries > 0.0
         {
             server.views[met.zone].note(now, stamp, met);
         }
-        let weight: f64 = self
-            .ready()
-            .filter(|s| s.line > 0.0)
-            .map(|s| s.weight)
-            .sum();
-        if !self.strained(HALF, STRAIN) {
-            self.carried = self
-                .carried
-                .max(self.pace() / weight.max(f64::MIN_POSITIVE));
+        let used = self.ready().filter(|s| s.line > 0.0);
+        let weight: f64 = used.map(|s| s.weight).sum();
+        if weight > 0.0 && !self.strained(HALF, STRAIN) {
+            self.carried = self.carried.max(self.pace() / weight);
         }
         self.settle()
     }
@@ -308,12 +305,10 @@
     fn see_a_cut_link(&mut self) -> bool {
         let off = |zone: &usize| {
             let good = |there: bool| {
-                let servers = self
-                    .ready()
-                    .filter(|s| (s.zone == *zone) == there && s.line > 0.0);
+                let servers = self.ready().filter(|s| (s.zone == *zone) == there);
                 servers.fold((0.0, 0.0), |a, s| {
                     let met = s.seen_from_outside(*zone, self.stamp(), LATELY - 1);
-                    (a.0 + met.tries - met.failed, a.1 + s.line)
+                    (a.0 + met.good(), a.1 + s.line.max(s.line_before))
                 })
             };
             let (there, here) = (good(true), good(false));
@@ -331,10 +326,8 @@
     /// The way back from a cut: a proxy of that zone has joined, or a server there answers a probe.
     /// The servers never stopped, so they do not go through the ramp.
     fn see_a_link_mended(&mut self) -> bool {
-        let answers = |zone| {
-            self.ready()
-                .any(|s| s.zone == zone && s.answered > s.judged)
-        };
+        let answer = |s: &Server, zone| s.zone == zone && s.answered > s.judged;
+        let answers = |zone| self.ready().any(|s| answer(s, zone));
         let mended = |zone: &usize| self.cut[*zone] && (self.joined(*zone) || answers(*zone));
         let Some(zone) = (0..self.cut.len()).find(mended) else {
             return false;
@@ -369,11 +362,8 @@
     fn let_the_put_out_return(&mut self) -> bool {
         let (now, ask) = (self.now, self.may_probe);
         let hold = HOLD_TICKS * TICK_MS * (1.0 + 0.1 * self.chance.draw());
-        let hold = if self.strained(HALF, STRAIN) {
-            hold / 4.0
-        } else {
-            hold
-        };
+        let hurry = self.strained(HALF, STRAIN);
+        let hold = if hurry { hold / 4.0 } else { hold };
         let out = |s: &Server| s.ready() && s.health == 0.0 && now - s.judged > hold * longer(s);
         let back = |s: &Server| out(s) && (!ask || s.answered > s.judged);
         let Some((_, server)) = self.find(back) else {
@@ -405,11 +395,8 @@
     fn set_levels_and_tries(&mut self) -> bool {
         if self.may_refuse && self.now - self.level_since >= TICK_MS {
             let heavy = self.strained(HALF, OVERLOAD);
-            let level = if heavy {
-                self.level * 0.8
-            } else {
-                self.level + 0.1
-            };
+            let (down, up) = (self.level * 0.8, self.level + 0.1);
+            let level = if heavy { down } else { up };
             (self.level, self.level_since) = (level.clamp(0.1, 1.0), self.now);
         }
         let share = |cheap: &f64| (self.level.powf(*cheap), Tries::OnProof);
@@ -530,17 +517,20 @@
         failing > STRAIN_FAILING || time > self.tight_ms * limit
     }
 
+    /// Nothing came back though its own pace, and its line at the pace of the others, both say that
+    /// much should have.
     fn silent(&self, s: &Server) -> bool {
         let used = self.ready().filter(|o| o.line > 0.0);
         let met = used.map(|o| (self.met(o).tries, o.line));
         let met = met.filter(|o| o.0 > 0.0);
         let sum = met.fold((0.0, f64::MIN_POSITIVE), |a, o| (a.0 + o.0, a.1 + o.1));
-        let pace = sum.0 / sum.1 / (self.bucket_ms * LATELY as f64);
         let moved = self.now - s.line_since < TICK_MS;
         let line = s.line.min(if moved { s.line_before } else { s.line });
+        let others = sum.0 / sum.1 * line / LATELY as f64;
+        let own = s.sum(self.stamp(), 2 * LATELY).tries / (2 * LATELY) as f64;
         let quiet = self.news - s.heard();
-        let long = (2.0 * self.bucket_ms).max(4.0 * self.norm(HALF).1);
-        quiet > long && quiet * line * pace > ENOUGH
+        let expected = quiet / self.bucket_ms * own.min(others);
+        expected >= 0.6 * ENOUGH && quiet >= SILENT * self.norm(HALF).1
     }
 
     /// Failing for every zone that has sent it enough: failures seen from one zone only point to a
@@ -625,18 +615,19 @@
         let warm = self.servers.values().filter(|s| self.able(s) == 1.0);
         let warm = warm.map(takes).sum::<f64>();
         let any = self.ready().any(|s| self.able(s) == 1.0 && line(s) > 0.0);
-        let strained = self.strained(HALF, OVERLOAD);
-        let excess = self.cold_excess / if strained { self.draws * 1.6 } else { 1.0 };
+        // A controller that has seen nothing carried yet reckons with a fleet far over its load.
+        let known = self.carried > 0.0 && self.pace() > 0.0;
+        let room = warm * self.carried / self.pace();
+        let room = if known { room } else { UNKNOWN_ROOM };
+        let over = self.strained(HALF, OVERLOAD);
+        let room = if over { room / COLD_CAUTION } else { room };
         let capped = |s: &Server| {
-            let part = warm * self.carried * self.able(s) * excess / self.pace();
-            let cold = self.able(s) < 1.0 && any;
+            let part = room * self.able(s) * self.cold_excess;
             // Where next to nothing else is answered, any line at all would draw everything.
             let part = if part < RAMP_FLOOR / 2.0 { 0.0 } else { part };
-            if cold {
-                line(s).min(part * s.weight)
-            } else {
-                line(s)
-            }
+            let cold = self.able(s) < 1.0 && any;
+            let most = if cold { part * s.weight } else { f64::INFINITY };
+            line(s).min(most)
         };
         self.servers.iter().map(|(i, s)| (*i, capped(s))).collect()
     }
@@ -687,8 +678,16 @@
         waiting + message <= self.most_waiting * part && proxies.all(|p| lately(p) < most)
     }
 
+    /// A round of reports counts once time has moved on: half a round says nothing of silence.
+    fn hear_out(&mut self) {
+        if self.newest < self.now {
+            self.news = self.newest;
+        }
+    }
+
     /// Goes through the rules until none fires, then closes the message and sets the alarm.
     fn settle(&mut self) -> Orders {
+        self.hear_out();
         while RULES.iter().any(|rule| rule(self)) {}
         let out = &self.out;
         let common = (out.lines.len() + out.levels.len() + out.withdrawals.len()) as f64;
@@ -708,9 +707,12 @@
                 }
             }
         }
-        if self.alarm <= self.now {
-            self.alarm = self.tick;
-            self.out.wake_at = Some(self.tick);
+        let heard_out = self.newest + self.bucket_ms / 1000.0;
+        let unread = self.news < self.newest;
+        let next = self.tick.min(if unread { heard_out } else { self.tick });
+        if self.alarm <= self.now || next < self.alarm {
+            self.alarm = next;
+            self.out.wake_at = Some(next);
         }
         std::mem::take(&mut self.out)
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -23,13 +23,17 @@
         self
     }
 
+    pub fn good(&self) -> f64 {
+        (self.tries - self.failed).max(0.0)
+    }
+
     pub fn share_failed(&self) -> f64 {
         self.failed / self.tries.max(1.0)
     }
 
     /// Mean time of the tries that did not fail; 0 without any.
     pub fn mean_ms(&self) -> f64 {
-        self.good_ms / (self.tries - self.failed).max(1.0)
+        self.good_ms / self.good().max(1.0)
     }
 }
 
