A cold server that is really sent little grows whatever its budget

While it meets less than half of what its budget allows, its line may grow by half a tick. May harm where a jam turns to the one server not avoided; a line of 0 does not grow.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -50,6 +50,7 @@
 const COLD_PART: f64 = 0.4;
 const UNKNOWN_ROOM: f64 = 0.25;
 const COLD_CAUTION: f64 = 3.0;
+const COLD_GROWTH: f64 = 1.5;
 /// Ticks that a server is put out for, and how often a relapse doubles that.
 const HOLD_TICKS: f64 = 2.5;
 const RELAPSES: u32 = 3;
@@ -626,7 +627,15 @@
             // Where next to nothing else is answered, any line at all would draw everything.
             let part = if part < RAMP_FLOOR / 2.0 { 0.0 } else { part };
             let cold = self.able(s) < 1.0 && any;
-            let most = if cold { part * s.weight } else { f64::INFINITY };
+            // What it was really sent counts more: while that is little, the line may grow.
+            let able = self.carried * s.weight * self.able(s) * self.cold_excess;
+            let idle = self.met(s).tries / (self.bucket_ms * LATELY as f64) < able / 2.0;
+            let proven = if idle { COLD_GROWTH * s.line } else { 0.0 };
+            let most = if cold {
+                proven.max(part * s.weight)
+            } else {
+                f64::INFINITY
+            };
             line(s).min(most)
         };
         self.servers.iter().map(|(i, s)| (*i, capped(s))).collect()
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -386,6 +386,24 @@
     assert!(fleet.line(0) > 0.5, "warm by then");
 }
 
+#[test]
+fn a_cold_server_that_is_sent_little_grows_in_overload() {
+    // Four servers restarted at once; the rest, over their load, answered late but answered.
+    let mut fleet = Fleet::of(8, &opening());
+    fleet.pass(6, |s, _| WELL.filter(|_| s < 8));
+    let back = listed(0, Standing::Ready, Some(fleet.now));
+    fleet.list(Extent::Changes, &[back]);
+    let late = |s, _| Some((12.0, 1.0, 950.0)).filter(|_| (1..8).contains(&s));
+    fleet.pass(4, late);
+    let early = fleet.line(0);
+    fleet.pass(8, late);
+    assert!(
+        fleet.line(0) > 3.0 * early,
+        "{early} then {}",
+        fleet.line(0)
+    );
+}
+
 #[test]
 fn further_tries_follow_proof_only_and_levels_spare_the_dear() {
     for admission in [Admission::Unused, Admission::Share] {
