Cold growth by half, measured alike on both sides; carried over all servers met

Carried now counts every server met; the idle check uses the same measure; growth is by half a tick.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -50,7 +50,7 @@
 const COLD_PART: f64 = 0.4;
 const UNKNOWN_ROOM: f64 = 0.25;
 const COLD_CAUTION: f64 = 3.0;
-const COLD_GROWTH: f64 = 2.0;
+const COLD_GROWTH: f64 = 1.5;
 /// Ticks that a server is put out for, and how often a relapse doubles that.
 const HOLD_TICKS: f64 = 2.5;
 const RELAPSES: u32 = 3;
@@ -243,7 +243,7 @@
         {
             server.views[met.zone].note(now, stamp, met);
         }
-        let used = self.ready().filter(|s| s.line > 0.0);
+        let used = self.servers.values().filter(|s| self.met(s).tries > 0.0);
         let weight: f64 = used.map(|s| s.weight).sum();
         if weight > 0.0 && !self.strained(HALF, STRAIN) {
             self.carried = self.carried.max(self.pace() / weight);
@@ -629,7 +629,7 @@
             let cold = self.able(s) < 1.0 && any;
             // What it was really sent counts more: while that is little, the line may grow.
             let able = self.carried * s.weight * self.able(s) * self.cold_excess;
-            let idle = self.met(s).tries / (self.bucket_ms * LATELY as f64) < able / 2.0;
+            let idle = self.met(s).tries / (self.bucket_ms * (LATELY - 1) as f64) < able / 2.0;
             let proven = if idle { COLD_GROWTH * s.line } else { 0.0 };
             let most = if cold {
                 proven.max(part * s.weight)
