--- a/src/rules.rs
+++ b/src/rules.rs
@@ -630,7 +630,7 @@
             // While it is really sent little and answers that fast, the line may grow.
             let able = self.carried * s.weight * self.able(s) * self.cold_excess;
             let met = self.met(s);
-            let little = met.tries / self.window_ms() < able / 2.0;
+            let little = met.tries / self.window_ms() < able / 3.0;
             let fast = met.good() > 0.0 && met.mean_ms() < self.tight_ms * LAG;
             let grown = if little && fast { COLD_GROWTH } else { 0.0 };
             let most = (grown * s.line).max(part * s.weight);
