--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,24 +29,25 @@
 const SILENT: f64 = 4.0;
 /// Failing: at least this share, and so many times the fleet's norm.
 const FAILING: f64 = 0.3;
-/// Slow: so many times the fleet's norm, and over STRAIN of the tightest soft limit.
+/// Slow: so many times the fleet's norm, and over this share of the tightest soft limit.
 const SLOW: f64 = 2.0;
-const STRAIN: f64 = 0.4;
 const LAG: f64 = 0.5;
+/// The fleet is strained: over this share of the limit at the rank asked, or failing so much there.
+const STRAIN: f64 = 0.4;
+const STRAIN_FAILING: f64 = 0.1;
 /// Ranks in the fleet that it is judged by: the median server, and the best quarter's last.
 const HALF: f64 = 0.5;
 const QUARTER: f64 = 0.25;
 /// Overload: the fleet's median time over this share of the tightest soft limit.
 const OVERLOAD: f64 = 0.9;
-/// The fleet is strained, too, when its median server fails this share.
-const STRAIN_FAILING: f64 = 0.1;
 /// A step of trimming, and the least health that it leaves.
 const TRIM: f64 = 0.6;
 const TRIM_LEAST: f64 = 0.1;
 /// Of the listed weight of ready servers, what health may take away at most.
 const MOST_EJECTED: f64 = 0.35;
 /// The part of what pushes a cold server over that its line may bring; what of that is left until
-/// the fleet's pace is known; and what it is divided by in overload.
+/// the fleet's pace is known; what it is divided by in overload; and the most that a line grows by
+/// on the server's own good showing.
 const COLD_PART: f64 = 0.4;
 const UNKNOWN_ROOM: f64 = 0.25;
 const COLD_CAUTION: f64 = 3.0;
@@ -569,18 +570,15 @@
             used && fits && settled && bad(self, s)
         };
         let found = self.servers.iter().find(|(_, s)| guilty(s));
-        let Some(s) = found
-            .map(|(i, _)| *i)
-            .filter(|_| !self.strained(rank, STRAIN))
-        else {
+        let found = found.map(|(i, s)| (*i, s.health * keep));
+        let Some((s, health)) = found.filter(|_| !self.strained(rank, STRAIN)) else {
             return false;
         };
         if let Some(server) = self.servers.get_mut(&s) {
-            (server.health, server.judged) = (server.health * keep, self.now);
-            let left = server.health;
-            let note = format!("server {s} is {word}: health {left:.2}");
-            self.out.notes.push(note);
+            (server.health, server.judged) = (health, self.now);
         }
+        let note = format!("server {s} is {word}: health {health:.2}");
+        self.out.notes.push(note);
         true
     }
 
@@ -602,13 +600,8 @@
             (RAMP_FLOOR + (1.0 - RAMP_FLOOR) * gone).min(1.0)
         };
         let whole = |s: &Server| if s.ready() { s.weight * ramp(s) } else { 0.0 };
-        let judged = |s: &Server| {
-            if self.cut[s.zone] {
-                0.0
-            } else {
-                whole(s) * s.health
-            }
-        };
+        let cut = |s: &Server| self.cut[s.zone];
+        let judged = |s: &Server| if cut(s) { 0.0 } else { whole(s) * s.health };
         let some = self.servers.values().any(|s| judged(s) > 0.0);
         let line = |s: &Server| if some { judged(s) } else { whole(s) };
         // Proxies avoid what fails, so only what the warm servers answer counts as their part.
@@ -708,11 +701,8 @@
             self.mark = (self.mark + 1) % 65536;
             self.out.mark = Some(self.mark);
             for (i, p) in &mut self.proxies {
-                let own = if self.out.binds.contains(i) {
-                    whole
-                } else {
-                    0.0
-                };
+                let bound = self.out.binds.contains(i);
+                let own = if bound { whole } else { 0.0 };
                 if common + own > 0.0 {
                     let lines = common + own + self.message_lines;
                     p.wrote(self.now, self.message_span_ms, self.mark, lines);
