--- a/src/rules.rs
+++ b/src/rules.rs
@@ -10,7 +10,7 @@
 //! that a cut link is not taken for many sick servers; the way back; levels and tries; the table
 //! and who is bound to it; and last the probes, which cost something.
 
-use crate::state::{Bucket, Chance, Proxy, Server, View, ranked};
+use crate::state::{Bucket, Chance, Proxy, Server, View, ranked, sorted};
 use crate::{Admission, Extent, Listed, Met, Opening, Orders, Standing, Tries};
 use std::collections::BTreeMap;
 
@@ -35,9 +35,6 @@
 /// The fleet is strained: over this share of the limit at the rank asked, or failing so much there.
 const STRAIN: f64 = 0.4;
 const STRAIN_FAILING: f64 = 0.1;
-/// Ranks in the fleet that it is judged by: the median server, and the best quarter's last.
-const HALF: f64 = 0.5;
-const QUARTER: f64 = 0.25;
 /// Overload: the fleet's median time over this share of the tightest soft limit.
 const OVERLOAD: f64 = 0.9;
 /// A step of trimming, and the least health that it leaves.
@@ -70,6 +67,9 @@
     cheapness: Vec<f64>,
     /// The most tries by millisecond and weight that the fleet has carried without strain.
     carried: f64,
+    /// The fleet's norms at the median and at the best quarter: failing share and time of good tries.
+    half: (f64, f64),
+    quarter: (f64, f64),
     /// Derived from the opening.
     bucket_ms: f64,
     tight_ms: f64,
@@ -133,6 +133,8 @@
             ways: vec![(1.0, told.usual_tries); told.classes.len()],
             cheapness: earnings.map(|e| dear / e.max(dear / 8.0)).collect(),
             carried: 0.0,
+            half: (0.0, 0.0),
+            quarter: (0.0, 0.0),
             bucket_ms: told.report_every_ms.max(TICK_MS / 2.0),
             tight_ms: limits.fold(f64::INFINITY, f64::min),
             most_waiting: told.most_waiting,
@@ -244,11 +246,6 @@
         {
             server.views[met.zone].note(now, stamp, met);
         }
-        let used = self.servers.values().filter(|s| self.met(s).tries > 0.0);
-        let weight: f64 = used.map(|s| s.weight).sum();
-        if weight > 0.0 && !self.strained(HALF, STRAIN) {
-            self.carried = self.carried.max(self.pace() / weight);
-        }
         self.settle()
     }
 
@@ -343,20 +340,20 @@
     /// before the first time-outs show. Also meets machines that vanish while the list still has
     /// them. May harm a server that stands still for seconds and would have come back.
     fn put_out_the_silent(&mut self) -> bool {
-        self.judge(Planner::silent, 0.0, HALF, "silent")
+        self.judge(Planner::silent, 0.0, self.half, "silent")
     }
 
     /// Guards against servers that fail much more than the fleet does, fast or late. May harm when
     /// one class fails by itself and comes to few servers.
     fn put_out_the_failing(&mut self) -> bool {
-        self.judge(Planner::failing, 0.0, HALF, "failing")
+        self.judge(Planner::failing, 0.0, self.half, "failing")
     }
 
     /// Guards against servers lastingly slower than the fleet, or listed too heavy: a step down at a
     /// time. May harm when costly visits fall on one server by chance.
     fn trim_the_slow(&mut self) -> bool {
         let slow: Verdict = |p, s| s.health > TRIM_LEAST && p.slow(s, SLOW);
-        self.judge(slow, TRIM, QUARTER, "slow")
+        self.judge(slow, TRIM, self.quarter, "slow")
     }
 
     /// Back from out, through the ramp: after a time that doubles with each relapse, and only when
@@ -364,7 +361,7 @@
     fn let_the_put_out_return(&mut self) -> bool {
         let (now, ask) = (self.now, self.may_probe);
         let hold = HOLD_TICKS * TICK_MS * (1.0 + 0.1 * self.chance.draw());
-        let hurry = self.strained(HALF, STRAIN);
+        let hurry = self.strained(self.half, STRAIN);
         let hold = if hurry { hold / 4.0 } else { hold };
         let out = |s: &Server| s.ready() && s.health == 0.0 && now - s.judged > hold * longer(s);
         let back = |s: &Server| out(s) && (!ask || s.answered > s.judged);
@@ -396,7 +393,7 @@
     /// where a deployment can refuse, a guard against overload: the least earnings go first.
     fn set_levels_and_tries(&mut self) -> bool {
         if self.may_refuse && self.now - self.level_since >= TICK_MS {
-            let heavy = self.strained(HALF, OVERLOAD);
+            let heavy = self.strained(self.half, OVERLOAD);
             let (down, up) = (self.level * 0.8, self.level + 0.1);
             let level = if heavy { down } else { up };
             (self.level, self.level_since) = (level.clamp(0.1, 1.0), self.now);
@@ -501,22 +498,27 @@
         s.sum(self.stamp(), LATELY)
     }
 
-    /// The fleet's norm, failing share and time of good tries, at a part of the servers in order:
-    /// a half is the median server, a quarter the one that a quarter of them are better than.
-    fn norm(&self, part: f64) -> (f64, f64) {
+    /// A norm is what a part of the servers stay under: half of them, or the best quarter. What a
+    /// fleet carries unstrained is remembered.
+    fn weigh_the_fleet(&mut self) {
         let used = self.ready().filter(|s| s.line > 0.0);
         let met: Vec<_> = used.map(|s| self.met(s)).collect();
         let tried = met.iter().filter(|m| m.tries > 0.0);
         let good = met.iter().filter(|m| m.tries > m.failed);
-        let failing = tried.map(Bucket::share_failed).collect();
-        let times = good.map(Bucket::mean_ms).collect();
-        (ranked(failing, part), ranked(times, part))
+        let failing = sorted(tried.map(Bucket::share_failed).collect());
+        let times = sorted(good.map(Bucket::mean_ms).collect());
+        let norm = |part| (ranked(&failing, part), ranked(&times, part));
+        (self.half, self.quarter) = (norm(0.5), norm(0.25));
+        let used = self.servers.values().filter(|s| self.met(s).tries > 0.0);
+        let weight: f64 = used.map(|s| s.weight).sum();
+        if weight > 0.0 && !self.strained(self.half, STRAIN) {
+            self.carried = self.carried.max(self.pace() / weight);
+        }
     }
 
     /// The fleet as a whole is slow or failing: what one server loses the others could not carry.
-    fn strained(&self, part: f64, limit: f64) -> bool {
-        let (failing, time) = self.norm(part);
-        failing > STRAIN_FAILING || time > self.tight_ms * limit
+    fn strained(&self, norm: (f64, f64), limit: f64) -> bool {
+        norm.0 > STRAIN_FAILING || norm.1 > self.tight_ms * limit
     }
 
     /// Nothing came back though its own pace, and its line at the pace of the others, both say that
@@ -532,13 +534,13 @@
         let own = s.sum(self.stamp(), 2 * LATELY).tries / (2 * LATELY) as f64;
         let quiet = self.news - s.heard();
         let expected = quiet / self.bucket_ms * own.min(others);
-        expected >= 0.6 * ENOUGH && quiet >= SILENT * self.norm(HALF).1
+        expected >= 0.6 * ENOUGH && quiet >= SILENT * self.half.1
     }
 
     /// Failing for every zone that has sent it enough: failures seen from one zone only point to a
     /// link. One whose good answers have been slow is overloaded, not broken: others would be next.
     fn failing(&self, s: &Server) -> bool {
-        let least = FAILING.max(self.norm(HALF).0 * SLOW);
+        let least = FAILING.max(self.half.0 * SLOW);
         let bad = |b: &Bucket| b.share_failed() >= least;
         let views = s.views.iter().map(|v| v.sum(self.stamp(), LATELY));
         let mut tried = views.filter(|b| b.tries >= ENOUGH / 2.0);
@@ -549,7 +551,7 @@
 
     /// Slow in each of the last buckets, so that one costly visit does not count.
     fn slow(&self, s: &Server, times: f64) -> bool {
-        let bar = (times * self.norm(QUARTER).1).max(self.tight_ms * LAG);
+        let bar = (times * self.quarter.1).max(self.tight_ms * LAG);
         let past = (1..=LASTING).map(|back| self.stamp().saturating_sub(back));
         let mut each = past.map(|at| s.sum(at, 1));
         self.met(s).tries >= ENOUGH && each.all(|b| b.mean_ms() > bar)
@@ -558,7 +560,10 @@
     /// Takes health from the first server that the verdict is on: only in a fleet that is not
     /// strained, and within what may be ejected. Evidence against most of the fleet at once is not
     /// taken for a fault of each server.
-    fn judge(&mut self, bad: Verdict, keep: f64, rank: f64, word: &str) -> bool {
+    fn judge(&mut self, bad: Verdict, keep: f64, norm: (f64, f64), word: &str) -> bool {
+        if self.strained(norm, STRAIN) {
+            return false;
+        }
         let window = self.bucket_ms * LATELY as f64;
         let all: f64 = self.ready().map(|s| s.weight).sum();
         let gone = self.ready().map(|s| s.weight * (1.0 - s.health));
@@ -571,7 +576,7 @@
         };
         let found = self.servers.iter().find(|(_, s)| guilty(s));
         let found = found.map(|(i, s)| (*i, s.health * keep));
-        let Some((s, health)) = found.filter(|_| !self.strained(rank, STRAIN)) else {
+        let Some((s, health)) = found else {
             return false;
         };
         if let Some(server) = self.servers.get_mut(&s) {
@@ -613,7 +618,7 @@
         let known = self.carried > 0.0 && self.pace() > 0.0;
         let room = warm * self.carried / self.pace();
         let room = if known { room } else { UNKNOWN_ROOM };
-        let over = self.strained(HALF, OVERLOAD);
+        let over = self.strained(self.half, OVERLOAD);
         let room = if over { room / COLD_CAUTION } else { room };
         let capped = |s: &Server| {
             let part = room * self.able(s) * self.cold_excess;
@@ -693,6 +698,7 @@
     /// Goes through the rules until none fires, then closes the message and sets the alarm.
     fn settle(&mut self) -> Orders {
         self.hear_out();
+        self.weigh_the_fleet();
         while RULES.iter().any(|rule| rule(self)) {}
         let out = &self.out;
         let common = (out.lines.len() + out.levels.len() + out.withdrawals.len()) as f64;
--- a/src/state.rs
+++ b/src/state.rs
@@ -197,9 +197,13 @@
     }
 }
 
-/// The value that a part of the others lie below; 0 without any.
-pub fn ranked(mut values: Vec<f64>, part: f64) -> f64 {
+pub fn sorted(mut values: Vec<f64>) -> Vec<f64> {
     values.sort_by(f64::total_cmp);
+    values
+}
+
+/// The value that a part of the sorted others lie below; 0 without any.
+pub fn ranked(values: &[f64], part: f64) -> f64 {
     let at = (values.len() as f64 * part) as usize;
     values.get(at).copied().unwrap_or(0.0)
 }
