--- a/src/rules.rs
+++ b/src/rules.rs
@@ -65,7 +65,7 @@
     ways: Vec<(f64, Tries)>,
     /// By class, how often the level is taken times itself: the least earnings go first.
     cheapness: Vec<f64>,
-    /// The most tries by millisecond and weight that the fleet has carried without strain.
+    /// The most tries by millisecond and weight that the fleet has carried short of overload.
     carried: f64,
     /// The fleet's norms at the median and at the best quarter: failing share and time of good tries.
     half: (f64, f64),
@@ -499,7 +499,7 @@
     }
 
     /// A norm is what a part of the servers stay under: half of them, or the best quarter. What a
-    /// fleet carries unstrained is remembered.
+    /// fleet carries short of overload is remembered.
     fn weigh_the_fleet(&mut self) {
         let used = self.ready().filter(|s| s.line > 0.0);
         let met: Vec<_> = used.map(|s| self.met(s)).collect();
@@ -511,7 +511,7 @@
         (self.half, self.quarter) = (norm(0.5), norm(0.25));
         let used = self.servers.values().filter(|s| self.met(s).tries > 0.0);
         let weight: f64 = used.map(|s| s.weight).sum();
-        if weight > 0.0 && !self.strained(self.half, STRAIN) {
+        if weight > 0.0 && !self.strained(self.half, OVERLOAD) {
             self.carried = self.carried.max(self.pace() / weight);
         }
     }
