The table in parts at size, one decision a moment, reports by their stretch, bindings paid singly

Change: all that comes at one moment is one input; a binding costs the proxy bound, a line the proxies of its part; the tick writes what fits, falls first; a line of reports is spread over the stretch it covers; the shared table is published in parts when a proxy's visits cannot keep connections to every server.

--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -9,8 +9,6 @@
 use std::collections::{BTreeMap, HashMap};
 use wire::{Fields, ms, opening};
 
-/// The one table that every proxy is bound to.
-const SHARED: u32 = 0;
 /// The one timer of an instance; older ones are overtaken by newer ones.
 const ALARM: u32 = 1;
 
@@ -52,22 +50,33 @@
         let said = |e: String| format!("batch {turn}: {e}");
         let now = ms(batch.whole("atTimeNs").map_err(said)?);
         let events = batch.array("input").map_err(said)?;
-        let mut actions = Vec::new();
+        let mut concerned: Vec<&str> = Vec::new();
         for (number, event) in events.iter().enumerate() {
-            self.take(now, event, &mut actions)
+            let who = self
+                .take(now, event)
                 .map_err(|e| format!("batch {turn}, event {number}: {e}"))?;
+            concerned.extend(who.filter(|who| !concerned.contains(who)));
+        }
+        // What came at one moment is one input: each instance concerned decides once.
+        let mut actions = Vec::new();
+        for who in concerned {
+            if let Some(Some(i)) = self.instances.get_mut(who) {
+                let orders = i.planner.decide(now);
+                encode(who, i, orders, &mut actions);
+            }
         }
         Ok(json!({"turn": turn, "actions": actions}).to_string())
     }
 
-    fn take(&mut self, now: f64, event: &Value, out: &mut Vec<Value>) -> Result<(), String> {
+    /// Tells an event to the instance it names, and says which one that is.
+    fn take<'a>(&mut self, now: f64, event: &'a Value) -> Result<Option<&'a str>, String> {
         let name = Fields::of(event, "event", "event")?.text("verb")?;
         let f = Fields::of(event, "event", name)?;
         if name == "Catalog" {
             let entries = f.array("elements")?;
             let read: Result<Vec<_>, _> = entries.iter().map(wire::Entry::of).collect();
             self.lists.insert(f.below("sheet", 16)?, read?);
-            return Ok(());
+            return Ok(None);
         }
         let who = f.instance("who")?;
         if name == "Born" {
@@ -83,20 +92,20 @@
                 classes,
             };
             self.instances.insert(who.to_string(), Some(instance));
-            return Ok(());
+            return Ok(Some(who));
         }
         if name == "Retire" {
             self.instances.insert(who.to_string(), None);
-            return Ok(());
+            return Ok(None);
         }
         let lists = &self.lists;
         let Some(place) = self.instances.get_mut(who) else {
             return Err(f.wrong("who", "an instance that was started"));
         };
         let Some(i) = place else {
-            return Ok(());
+            return Ok(None);
         };
-        let orders = match name {
+        match name {
             "Membership" => {
                 let kind = f.text("kind")?;
                 f.whole("gen")?;
@@ -105,9 +114,8 @@
                     "total" => Extent::Whole,
                     "incr" => Extent::Changes,
                     "lost" => {
-                        let orders = i.planner.roster_lost(now);
-                        encode(who, i, orders, out);
-                        return Ok(());
+                        i.planner.roster_lost(now);
+                        return Ok(Some(who));
                     }
                     _ => return Err(f.wrong("kind", "a kind of list")),
                 };
@@ -128,33 +136,33 @@
                         started_ms: entry.started_ms,
                     });
                 }
-                i.planner.roster_changed(now, extent, &roster)
+                i.planner.roster_changed(now, extent, &roster);
             }
             "Connected" => {
                 let zone = f.below("campus", i.zones)? as usize;
                 f.flag("flag")?;
-                f.number("heft")?;
-                i.planner
-                    .proxy_joined(now, f.below("agent", 65536)? as usize, zone)
+                let pace = f.number("heft")? / 1000.0;
+                let proxy = f.below("agent", 65536)? as usize;
+                i.planner.proxy_joined(proxy, zone, pace);
             }
-            "DroppedOff" => i.planner.proxy_left(now, f.below("agent", 65536)? as usize),
+            "DroppedOff" => i.planner.proxy_left(f.below("agent", 65536)? as usize),
             "Acked" => {
                 f.whole("costTimeNs")?;
                 let proxy = f.below("agent", 65536)? as usize;
                 i.planner
-                    .orders_applied(now, proxy, f.below("gen", 65536)? as u32)
+                    .orders_applied(proxy, f.below("gen", 65536)? as u32);
             }
             "UpstreamStats" => {
-                f.whole("windowNs")?;
                 f.load("telemetry")?;
                 let met = Met {
+                    window_ms: ms(f.whole("windowNs")?),
                     zone: f.below("campus", i.zones)? as usize,
                     tries: f.whole("n")? as f64,
                     failed: f.whole("bad")? as f64,
                     mean_ms: ms(f.whole("costTimeNs")?),
                     server: i.place(f.below("backend", 1 << 32)?),
                 };
-                i.planner.tries_met(now, &met)
+                i.planner.tries_met(now, &met);
             }
             "HealthResult" => {
                 f.whole("costTimeNs")?;
@@ -166,46 +174,40 @@
                     _ => return Err(f.wrong("rc", "an outcome")),
                 };
                 let server = i.place(f.below("backend", 1 << 32)?);
-                i.planner.probe_answered(now, server, fine)
+                i.planner.probe_answered(now, server, fine);
             }
             "DeadlineHit" => {
                 f.whole("ref")?;
-                i.planner.woken(now)
             }
             // What came to proxies, slices and peers: taken, checked, and no decision uses them yet.
             "Ingress" => {
-                for field in ["n", "bad", "windowNs", "agent"] {
+                for field in ["n", "bad", "windowNs"] {
                     f.whole(field)?;
                 }
                 f.below("grade", i.classes)?;
-                return Ok(());
+                i.planner.visits_came(f.below("agent", 65536)? as usize);
             }
             "Custody" => {
                 f.whole("table")?;
                 f.flag("flag")?;
-                return Ok(());
             }
             "Held" => {
                 f.whole("table")?;
                 f.number("heft")?;
                 f.below("backend", 1 << 32)?;
-                return Ok(());
             }
             "Heat" => {
                 for field in ["n", "windowNs", "table", "bad", "grade"] {
                     f.whole(field)?;
                 }
-                return Ok(());
             }
             "NeighbourSays" => {
                 f.whole("src")?;
                 f.text("bytes")?;
-                return Ok(());
             }
             _ => return Err(format!("{name}: no such event")),
-        };
-        encode(who, i, orders, out);
-        Ok(())
+        }
+        Ok(Some(who))
     }
 }
 
@@ -220,19 +222,19 @@
         }
         out.push(Value::Object(action));
     };
-    for (server, weight) in orders.lines {
+    for (table, server, weight) in orders.lines {
         let backend = i.servers[server];
         put(
             "PutLine",
-            json!({"heft": weight, "table": SHARED, "backend": backend}),
+            json!({"heft": weight, "table": table, "backend": backend}),
         );
     }
-    for (class, share, tries) in orders.levels {
+    for (table, class, share, tries) in orders.levels {
         let way = wire::way_of(tries);
         let mask = 1u64 << class;
         put(
             "Throttle",
-            json!({"onFailure": way, "level": share, "table": SHARED, "mask": mask}),
+            json!({"onFailure": way, "level": share, "table": table, "mask": mask}),
         );
     }
     for (server, out_of_all) in orders.withdrawals {
@@ -241,10 +243,10 @@
             json!({"backend": i.servers[server], "flag": out_of_all}),
         );
     }
-    for proxy in orders.binds {
+    for (proxy, table) in orders.binds {
         put(
             "UseTable",
-            json!({"mask": 0, "table": SHARED, "agent": proxy}),
+            json!({"mask": 0, "table": table, "agent": proxy}),
         );
     }
     if let Some(mark) = orders.mark {
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -172,13 +172,21 @@
     #[serde(deserialize_with = "positive")]
     most_waiting: f64,
     #[serde(deserialize_with = "positive")]
+    egress_per_s: f64,
+    #[serde(deserialize_with = "time")]
+    push_delay_ns: f64,
+    #[serde(deserialize_with = "positive")]
     overhead: f64,
     #[serde(default, deserialize_with = "positive")]
+    standing: f64,
+    #[serde(default, deserialize_with = "positive")]
     messages_most: f64,
     #[serde(default, deserialize_with = "time")]
     reload_span_ns: f64,
     #[serde(deserialize_with = "time")]
     report_every_ns: f64,
+    #[serde(deserialize_with = "positive")]
+    ingest_rate: f64,
     #[serde(default)]
     shards: u64,
 }
@@ -188,6 +196,8 @@
 struct Allowed {
     #[serde(default)]
     probing: bool,
+    #[serde(deserialize_with = "time")]
+    conn_idle_ns: f64,
 }
 
 fn time<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
@@ -222,10 +232,15 @@
             _ => Admission::Unused,
         },
         most_waiting: facts.most_waiting,
+        lines_per_ms: facts.egress_per_s / 1000.0,
+        way_ms: facts.push_delay_ns,
         message_lines: facts.overhead,
+        idle_ms: told.limits.conn_idle_ns,
+        standing_lines: facts.standing,
         most_messages: facts.messages_most,
         message_span_ms: facts.reload_span_ns,
         report_every_ms: facts.report_every_ns,
+        reports_per_ms: facts.ingest_rate / 1000.0,
         cold_share: bounds.cold_from,
         warm_after_ms: bounds.ramp_time_ns,
         fall_multiple: bounds.fall_multiple,
--- a/crates/wirehost/tests/wire.rs
+++ b/crates/wirehost/tests/wire.rs
@@ -11,9 +11,10 @@
              "effect": "side_effect"},
         ],
         "zones": ["a", "b"], "zone": 0, "registryMode": "push",
-        "limits": {"probing": true},
+        "limits": {"probing": true, "connIdleNs": 15_000_000_000u64},
         "rules": {"coldFrom": 0.2, "fallMultiple": 3, "rampTimeNs": 16_000_000_000u64},
         "specifics": {"admit": "fraction", "baseMode": 0, "choice": "rotate", "mostWaiting": 9000,
+                      "egressPerS": 9000.0, "pushDelayNs": 200_000_000u64, "standing": 5, "ingestRate": 100.0,
                       "overhead": 4, "reportEveryNs": 1_000_000_000u64, "tryAims": 1.2},
     })
 }
@@ -101,6 +102,8 @@
         json!({"verb": "UpstreamStats", "who": "controller/0", "campus": 0, "bad": 0, "n": 4,
                "costTimeNs": 48_250_000, "windowNs": 1_000_000_000, "backend": 999,
                "telemetry": {"backlog": 3, "a_new_one": 1.5}}),
+        json!({"verb": "UpstreamStats", "who": "controller/0", "campus": 0, "bad": 0, "n": 4,
+               "costTimeNs": 48_250_000, "windowNs": 0, "backend": 7, "telemetry": null}),
         json!({"verb": "Custody", "who": "controller/0", "table": 1, "flag": true}),
         json!({"verb": "NeighbourSays", "who": "controller/0", "src": 2, "bytes": "aGk="}),
         json!({"verb": "Retire", "who": "controller/0"}),
@@ -139,6 +142,10 @@
         .as_object_mut()
         .unwrap()
         .remove("credit");
+    let mut pace = born();
+    pace["settings"]["specifics"]["egressPerS"] = json!(-1);
+    let met = json!({"verb": "UpstreamStats", "who": "controller/0", "campus": 0, "bad": 0, "n": 4,
+                     "costTimeNs": 5, "windowNs": 0, "backend": 7});
     let mut row = catalog("active");
     row["elements"][1]["campus"] = json!("east");
     let cases = [
@@ -175,7 +182,20 @@
             ["event", "\"verb\" is missing"],
         ),
         (json!(7), ["event", "event is not an object"]),
+        (
+            without(met.clone(), "windowNs"),
+            ["UpstreamStats", "\"windowNs\" is missing"],
+        ),
+        (
+            with(met.clone(), "windowNs", json!(-1)),
+            ["UpstreamStats", "\"windowNs\" is not a whole number"],
+        ),
+        (
+            with(met, "windowNs", json!("long")),
+            ["UpstreamStats", "\"windowNs\" is not a whole number"],
+        ),
         (cold, ["Born", "settings.rules.coldFrom"]),
+        (pace, ["Born", "settings.specifics.egressPerS"]),
         (worth, ["Born", "settings.lanes[1]"]),
         (row, ["Catalog", "\"campus\" is not a whole number"]),
     ];
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Times are milliseconds with fractions on one clock that never goes back. Servers, proxies,
 //! zones, kinds and classes are small indices that the caller hands out. Nothing here knows of any
-//! wire; [`rules::Planner`] takes one call for each thing that happens and returns [`Orders`].
+//! wire; [`rules::Planner`] takes one call for each thing that happens and, when all that came at
+//! one moment is told, answers with [`Orders`].
 
 pub mod rules;
 mod state;
@@ -31,12 +32,21 @@
     pub admission: Admission,
     /// Lines that may wait in the channel.
     pub most_waiting: f64,
+    /// Lines that it sends by millisecond when all is well, and the mean way of a message after.
+    pub lines_per_ms: f64,
+    pub way_ms: f64,
     /// Lines that a message costs beyond its own.
     pub message_lines: f64,
+    /// A proxy closes a connection that was idle for so long.
+    pub idle_ms: f64,
+    /// Servers that a proxy draws for itself at its start.
+    pub standing_lines: f64,
     /// Messages to one proxy within `message_span_ms`; 0: no such limit.
     pub most_messages: f64,
     pub message_span_ms: f64,
     pub report_every_ms: f64,
+    /// Lines of reports by millisecond that the controller is told at most.
+    pub reports_per_ms: f64,
     /// A server starts at no less than this share of its capacity ...
     pub cold_share: f64,
     /// ... is warm after this long ...
@@ -99,6 +109,8 @@
     pub server: usize,
     pub tries: f64,
     pub failed: f64,
+    /// The stretch of time that this covers.
+    pub window_ms: f64,
     /// Mean time of the tries that did not fail.
     pub mean_ms: f64,
 }
@@ -106,21 +118,21 @@
 /// What a call leads to, to be carried out in the order of the fields, as one message a proxy.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Orders {
-    /// Lines of the shared table: server and weight; 0 takes the line away.
-    pub lines: Vec<(usize, f64)>,
-    /// Levels of the shared table: class, share let in, and when to try again.
-    pub levels: Vec<(usize, f64, Tries)>,
+    /// Lines of the shared table: its part, server and weight; 0 takes the line away.
+    pub lines: Vec<(usize, usize, f64)>,
+    /// Levels of the shared table: its part, class, share let in, and when to try again.
+    pub levels: Vec<(usize, usize, f64, Tries)>,
     /// Servers shut out of all tables (true), or allowed again.
     pub withdrawals: Vec<(usize, bool)>,
-    /// Proxies to be bound to the shared table.
-    pub binds: Vec<usize>,
+    /// Proxies to be bound to the shared table, and to which part of it.
+    pub binds: Vec<(usize, usize)>,
     /// A number that each proxy concerned answers with.
     pub mark: Option<u32>,
     /// Servers to probe.
     pub probes: Vec<usize>,
     /// Ask for the list, and for its changes from now on.
     pub ask_list: bool,
-    /// Call [`rules::Planner::woken`] at this time.
+    /// Call [`rules::Planner::decide`] at this time.
     pub wake_at: Option<f64>,
     /// Lines for the operators' log.
     pub notes: Vec<String>,
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,10 +1,10 @@
 //! What the planner remembers, and the sums it is asked for. Nothing here decides anything.
 
 use crate::{Met, Standing};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Time buckets kept of what was met; the oldest is used again.
-const RING: usize = 8;
+const RING: usize = 16;
 
 /// What was met in a stretch of time.
 #[derive(Clone, Copy, Default)]
@@ -40,32 +40,48 @@
 /// What the proxies of one zone met at a server.
 #[derive(Clone, Copy, Default)]
 pub struct View {
+    since: f64,
     pub heard: f64,
+    /// The bucket that sums end with: the newest that anything can have been told of.
+    last: u64,
     ring: [Bucket; RING],
 }
 
 impl View {
     pub fn since(now: f64) -> View {
+        let (since, heard) = (now, now);
         View {
-            heard: now,
+            since,
+            heard,
             ..View::default()
         }
     }
 
-    pub fn note(&mut self, now: f64, stamp: u64, met: &Met) {
+    /// Spreads a line evenly over the stretch that it covers. One that reaches back past `since` is
+    /// of another time, and only shows that something came.
+    pub fn note(&mut self, now: f64, bucket_ms: f64, met: &Met) {
         self.heard = now;
-        let bucket = &mut self.ring[stamp as usize % RING];
-        if bucket.stamp != stamp {
-            *bucket = Bucket::default();
+        if now - met.window_ms < self.since {
+            return;
+        }
+        let newest = (now / bucket_ms) as u64;
+        let many = (met.window_ms / bucket_ms).round().max(1.0);
+        for back in 0..(many as u64).min(RING as u64).min(newest + 1) {
+            let stamp = newest - back;
+            let bucket = &mut self.ring[stamp as usize % RING];
+            if bucket.stamp != stamp {
+                *bucket = Bucket::default();
+            }
+            bucket.stamp = stamp;
+            bucket.tries += met.tries / many;
+            bucket.failed += met.failed / many;
+            bucket.good_ms += met.mean_ms * (met.tries - met.failed).max(0.0) / many;
         }
-        bucket.stamp = stamp;
-        bucket.tries += met.tries;
-        bucket.failed += met.failed;
-        bucket.good_ms += met.mean_ms * (met.tries - met.failed).max(0.0);
     }
 
-    /// The sum of so many buckets, the last of them being `last`.
-    pub fn sum(&self, last: u64, many: u64) -> Bucket {
+    /// The sum of so many buckets, from so many back.
+    pub fn sum(&self, back: u64, many: u64) -> Bucket {
+        let last = self.last.saturating_sub(back);
         let within = |b: &&Bucket| b.stamp <= last && last - b.stamp < many;
         let buckets = self.ring.iter().filter(within);
         buckets.fold(Bucket::default(), Bucket::and)
@@ -74,13 +90,19 @@
 
 /// One server: its admin state, its health, its line, and what was met there.
 pub struct Server {
+    /// A list has named it.
+    pub known: bool,
     pub zone: usize,
     pub standing: Standing,
     pub weight: f64,
     pub started: Option<f64>,
     /// When its ramp began; long ago for servers listed at the controller's start.
     pub entered: f64,
+    /// The part of the table that its line is in.
+    pub part: Option<usize>,
     pub withdrawn: bool,
+    /// It started so lately that it may not be warm.
+    pub cold: bool,
     /// The part of the line that the evidence leaves: 1, less after trims, 0 when put out.
     pub health: f64,
     pub judged: f64,
@@ -93,17 +115,22 @@
     pub line_before: f64,
     pub line_since: f64,
     pub views: Vec<View>,
+    /// The sum of all views lately, reckoned once an input.
+    pub lately: Bucket,
 }
 
 impl Server {
     pub fn unknown(zones: usize) -> Server {
         Server {
+            known: false,
             zone: 0,
             standing: Standing::Gone,
             weight: 1.0,
             started: None,
             entered: f64::NEG_INFINITY,
+            part: None,
             withdrawn: false,
+            cold: false,
             health: 1.0,
             judged: f64::NEG_INFINITY,
             relapses: 0,
@@ -113,6 +140,7 @@
             line_before: 0.0,
             line_since: f64::NEG_INFINITY,
             views: vec![View::default(); zones],
+            lately: Bucket::default(),
         }
     }
 
@@ -125,15 +153,25 @@
         heard.fold(self.line_since, f64::max)
     }
 
-    pub fn sum(&self, last: u64, many: u64) -> Bucket {
-        let sums = self.views.iter().map(|v| v.sum(last, many));
+    /// Lets the sums end where a line that waits its turn can reach, and adds them up.
+    pub fn reckon(&mut self, now: f64, told: &Bounds, norms: &Norms) {
+        for v in &mut self.views {
+            v.last = ((now - (now - v.heard).min(norms.wait)) / told.bucket_ms) as u64;
+        }
+        self.lately = self.sum(0, norms.lately);
+        let began = |at| now - at < told.warm_after_ms;
+        self.cold = self.started.is_some_and(began);
+    }
+
+    pub fn sum(&self, back: u64, many: u64) -> Bucket {
+        let sums = self.views.iter().map(|v| v.sum(back, many));
         sums.fold(Bucket::default(), |a, b| a.and(&b))
     }
 
     /// What the proxies of all zones but one met.
-    pub fn seen_from_outside(&self, zone: usize, last: u64, many: u64) -> Bucket {
+    pub fn seen_from_outside(&self, zone: usize, many: u64) -> Bucket {
         let views = self.views.iter().enumerate().filter(|(z, _)| *z != zone);
-        views.fold(Bucket::default(), |a, (_, v)| a.and(&v.sum(last, many)))
+        views.fold(Bucket::default(), |a, (_, v)| a.and(&v.sum(0, many)))
     }
 
     pub fn write(&mut self, now: f64, line: f64) {
@@ -142,38 +180,60 @@
     }
 }
 
+/// What the proxies of other zones got out of the servers of a zone, or of all others: good tries,
+/// and the lines that these came by.
+pub fn good_across(servers: &[Server], zone: usize, there: bool, many: u64) -> (f64, f64) {
+    let asked = servers
+        .iter()
+        .filter(|s| s.ready() && (s.zone == zone) == there);
+    asked.fold((0.0, 0.0), |sum, s| {
+        let met = s.seen_from_outside(zone, many);
+        (sum.0 + met.good(), sum.1 + s.line.max(s.line_before))
+    })
+}
+
 /// A joined proxy, and what was written to it.
 #[derive(Default)]
 pub struct Proxy {
     pub zone: usize,
-    pub bound: bool,
-    /// Messages not yet answered, as mark and lines.
-    unanswered: VecDeque<(u32, f64)>,
+    /// Visits that come to it by millisecond, as told when it joined.
+    pub pace: f64,
+    /// The part of the table that it is bound to.
+    pub part: Option<usize>,
+    /// Lines that this reply sends it for its binding.
+    pub sent: f64,
+    /// Messages not yet answered, as number and lines.
+    unanswered: VecDeque<(u64, f64)>,
     written: VecDeque<f64>,
 }
 
 impl Proxy {
-    pub fn of(zone: usize) -> Proxy {
-        let fresh = Proxy::default();
-        Proxy { zone, ..fresh }
+    pub fn of(zone: usize, pace: f64) -> Proxy {
+        Proxy {
+            zone,
+            pace,
+            ..Proxy::default()
+        }
     }
 
-    pub fn wrote(&mut self, now: f64, span_ms: f64, mark: u32, lines: f64) {
-        self.unanswered.push_back((mark, lines));
-        self.written.retain(|at| now - at < span_ms && *at < now);
+    pub fn wrote(&mut self, now: f64, span_ms: f64, number: u64, lines: f64) {
+        self.unanswered.push_back((number, lines));
+        self.written.retain(|at| now - at < span_ms);
         self.written.push_back(now);
     }
 
-    /// An answer to one message is an answer to all before it.
-    pub fn answered(&mut self, mark: u32) {
-        let at = self.unanswered.iter().position(|(m, _)| *m == mark);
-        if let Some(at) = at {
-            self.unanswered.drain(..=at);
-        }
+    /// An answer to one message is an answer to all before it. Tells the message's full number.
+    pub fn answered(&mut self, mark: u32) -> Option<u64> {
+        let mut sent = self.unanswered.iter();
+        let at = sent.position(|(n, _)| *n as u32 % 65536 == mark)?;
+        self.unanswered.drain(..=at).next_back().map(|(n, _)| n)
     }
 
-    pub fn waiting(&self) -> f64 {
-        self.unanswered.iter().map(|(_, lines)| lines).sum()
+    /// Lines that may still wait, once any proxy has answered for a message of that number: the
+    /// channel sends in order.
+    pub fn waiting(&self, past: u64) -> f64 {
+        let left = self.unanswered.iter().filter(|(n, _)| *n >= past);
+        left.map(|(_, lines)| lines).sum()
     }
 
     pub fn messages(&self, now: f64, span_ms: f64) -> f64 {
@@ -182,6 +242,203 @@
     }
 }
 
+/// A part of the shared table: proxies bound to it, the most messages that any of them was written
+/// lately, and lines that this reply adds.
+#[derive(Clone, Default)]
+pub struct Part {
+    proxies: f64,
+    messages: f64,
+    adds: f64,
+}
+
+/// The channel: what waits in it, and what this reply adds, as one message a proxy.
+#[derive(Default)]
+pub struct Channel {
+    pub parts: Vec<Part>,
+    /// Lines that may still wait, and lines that this reply adds.
+    pub waiting: f64,
+    pub adds: f64,
+    /// Lines that this reply adds for proxies that no part counts.
+    strays: f64,
+    message_lines: f64,
+    span_ms: f64,
+    /// The last message's number, and the newest that a proxy has answered for.
+    number: u64,
+    past: u64,
+}
+
+impl Channel {
+    pub fn of(message_lines: f64, span_ms: f64) -> Channel {
+        Channel {
+            message_lines,
+            span_ms,
+            ..Channel::default()
+        }
+    }
+
+    pub fn answered(&mut self, number: Option<u64>) {
+        self.past = self.past.max(number.unwrap_or(0));
+    }
+
+    /// What more lines of a part would add: each of its proxies gets a message.
+    pub fn price(&self, part: Option<usize>, lines: f64) -> f64 {
+        let Some(part) = part.map(|p| &self.parts[p]) else {
+            return 0.0;
+        };
+        let fresh = part.adds == 0.0;
+        part.proxies * (lines + if fresh { self.message_lines } else { 0.0 })
+    }
+
+    /// Adds lines for all proxies of a part, and lines for proxies that no part counts.
+    pub fn add(&mut self, part: Option<usize>, lines: f64, others: f64) {
+        self.adds += others + self.price(part, lines);
+        self.strays += others;
+        if let Some(part) = part {
+            self.parts[part].adds += lines;
+        }
+    }
+
+    pub fn busiest(&self) -> f64 {
+        let messages = self.parts.iter().map(|p| p.messages);
+        messages.fold(0.0, f64::max)
+    }
+
+    /// For each part, visits that come to its proxies (of one zone, if asked), and weight of its lines.
+    pub fn loads(
+        &self,
+        servers: &[Server],
+        proxies: &BTreeMap<usize, Proxy>,
+        zone: Option<usize>,
+    ) -> Vec<(f64, f64)> {
+        let mut loads = vec![(0.0, 0.0); self.parts.len()];
+        for p in proxies
+            .values()
+            .filter(|p| zone.is_none_or(|z| z == p.zone))
+        {
+            if let Some(part) = p.part {
+                loads[part].0 += p.pace;
+            }
+        }
+        for s in servers.iter().filter(|s| s.ready() && !s.withdrawn) {
+            if let Some(part) = s.part {
+                loads[part].1 += s.line;
+            }
+        }
+        loads
+    }
+
+    /// Begins a reply.
+    pub fn open(&mut self, now: f64, proxies: &BTreeMap<usize, Proxy>) {
+        (self.waiting, self.adds, self.strays) = (0.0, 0.0, 0.0);
+        self.parts.fill(Part::default());
+        for p in proxies.values() {
+            self.waiting += p.waiting(self.past);
+            if let Some(part) = p.part.map(|part| &mut self.parts[part]) {
+                part.proxies += 1.0;
+                part.messages = part.messages.max(p.messages(now, self.span_ms));
+            }
+        }
+    }
+
+    /// Ends a reply: each message is noted. Tells the number to be answered, if there is any.
+    pub fn close(&mut self, now: f64, proxies: &mut BTreeMap<usize, Proxy>) -> Option<u32> {
+        if self.adds == 0.0 {
+            return None;
+        }
+        self.number += 1;
+        let unbound = proxies.values().filter(|p| p.part.is_none()).count();
+        let bound: f64 = proxies.values().map(|p| p.sent).sum();
+        let stray = (self.strays - bound).max(0.0) / unbound.max(1) as f64;
+        for p in proxies.values_mut() {
+            let lines = match p.part.map(|part| self.parts[part].adds) {
+                Some(adds) if adds > 0.0 => adds + self.message_lines + p.sent,
+                Some(_) => p.sent,
+                None => stray,
+            };
+            if lines > 0.0 {
+                p.wrote(now, self.span_ms, self.number, lines);
+            }
+            p.sent = 0.0;
+        }
+        Some((self.number % 65536) as u32)
+    }
+}
+
+/// What came with the newest reports: lines, tries met, and tries times their lines' wait.
+#[derive(Default)]
+pub struct Heard {
+    pub lines: f64,
+    pub tries: f64,
+    pub late: f64,
+}
+
+impl Heard {
+    pub fn note(&mut self, met: &Met, report_ms: f64) {
+        self.lines += 1.0;
+        self.tries += met.tries;
+        self.late += met.tries * (met.window_ms - report_ms).max(0.0);
+    }
+}
+
+/// The fleet's figures, reckoned once an input. A norm is what a part of the servers stay under.
+#[derive(Default)]
+pub struct Norms {
+    /// At the median and at the best quarter: failing share and time of good tries.
+    pub half: (f64, f64),
+    pub quarter: (f64, f64),
+    /// Tries lately by weight of line, of all servers that had any.
+    pub usual: f64,
+    /// Tries lately, and the weight of the servers that had any.
+    pub tries: f64,
+    pub used: f64,
+    /// How long a line of reports waits its turn beyond one period, and the buckets that are lately.
+    pub wait: f64,
+    pub lately: u64,
+}
+
+impl Norms {
+    pub fn weigh(&mut self, servers: &[Server]) {
+        let used = servers.iter().filter(|s| s.ready() && s.line > 0.0);
+        let tried = used.filter(|s| s.lately.tries > 0.0);
+        let good = tried.clone().filter(|s| s.lately.good() > 0.0);
+        let failing = sorted(tried.clone().map(|s| s.lately.share_failed()).collect());
+        let times = sorted(good.map(|s| s.lately.mean_ms()).collect());
+        let norm = |part| (ranked(&failing, part), ranked(&times, part));
+        (self.half, self.quarter) = (norm(0.5), norm(0.25));
+        let met = servers.iter().filter(|s| s.lately.tries > 0.0);
+        self.tries = met.clone().map(|s| s.lately.tries).sum();
+        self.used = met.map(|s| s.weight).sum();
+        let tries: f64 = tried.clone().map(|s| s.lately.tries).sum();
+        let lines: f64 = tried.map(|s| s.line).sum();
+        self.usual = tries / lines.max(f64::MIN_POSITIVE);
+    }
+}
+
+/// The figures derived at start that decisions use.
+pub struct Bounds {
+    pub report_ms: f64,
+    /// Lines of reports that can come at one time.
+    pub most_heard: f64,
+    pub bucket_ms: f64,
+    pub tight_ms: f64,
+    /// By class, how often the level is taken times itself: the least earnings go first.
+    pub cheapness: Vec<f64>,
+    pub most_waiting: f64,
+    pub under_way: f64,
+    pub message_lines: f64,
+    pub most_messages: f64,
+    pub standing_lines: f64,
+    /// How far apart a proxy's visits to a server may be on average.
+    pub kept_ms: f64,
+    pub cold_share: f64,
+    pub warm_after_ms: f64,
+    pub cold_excess: f64,
+    pub dropped_may_stay: bool,
+    pub may_probe: bool,
+    pub may_refuse: bool,
+    pub has_tables: bool,
+}
+
 /// Multiply with carry: numbers from 0 to 1.
 pub struct Chance(u32, u32);
 
@@ -197,13 +454,13 @@
     }
 }
 
-pub fn sorted(mut values: Vec<f64>) -> Vec<f64> {
+fn sorted(mut values: Vec<f64>) -> Vec<f64> {
     values.sort_by(f64::total_cmp);
     values
 }
 
 /// The value that a part of the sorted others lie below; 0 without any.
-pub fn ranked(values: &[f64], part: f64) -> f64 {
+fn ranked(values: &[f64], part: f64) -> f64 {
     let at = (values.len() as f64 * part) as usize;
     values.get(at).copied().unwrap_or(0.0)
 }
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -1,7 +1,7 @@
 //! The planner against tables of cases, without any bench: what was told, what it ordered.
 
 use dahliapoint::rules::Planner;
-use dahliapoint::{Admission, Class, Extent, Listed, Met, Opening, Orders, Standing, Tries};
+use dahliapoint::{Admission, Class, Extent, Listed, Met, Opening, Standing, Tries};
 use std::collections::BTreeMap;
 
 fn opening() -> Opening {
@@ -14,10 +14,15 @@
         classes: vec![class(1.0), class(2.0)],
         admission: Admission::Unused,
         most_waiting: 10_000.0,
+        lines_per_ms: 10.0,
+        way_ms: 0.0,
+        idle_ms: 15_000.0,
+        standing_lines: 5.0,
         message_lines: 4.0,
         most_messages: 0.0,
         message_span_ms: 10_000.0,
         report_every_ms: 1000.0,
+        reports_per_ms: 0.1,
         cold_share: 0.2,
         warm_after_ms: 16_000.0,
         fall_multiple: 3.0,
@@ -61,7 +66,7 @@
             .collect();
         fleet.list(Extent::Remembered, &roster);
         for proxy in 0..4 {
-            fleet.tell(|p, now| p.proxy_joined(now, proxy, proxy % 2));
+            fleet.tell(|p, _| p.proxy_joined(proxy, proxy % 2, PACE));
         }
         fleet
     }
@@ -87,19 +92,21 @@
         }
     }
 
-    fn tell(&mut self, call: impl FnOnce(&mut Planner, f64) -> Orders) {
-        let orders = call(&mut self.planner, self.now);
+    fn tell(&mut self, call: impl FnOnce(&mut Planner, f64)) {
+        call(&mut self.planner, self.now);
+        let orders = self.planner.decide(self.now);
         self.messages += usize::from(orders.mark.is_some());
-        self.table.extend(orders.lines);
-        self.levels
-            .extend(orders.levels.iter().map(|l| (l.0, (l.1, l.2))));
+        self.table.extend(orders.lines.iter().map(|l| (l.1, l.2)));
+        let levels = orders.levels.iter().map(|l| (l.1, (l.2, l.3)));
+        self.levels.extend(levels);
         self.out.extend(orders.withdrawals);
-        self.bound.extend(&orders.binds);
+        self.bound.extend(orders.binds.iter().map(|b| b.0));
         self.probed.extend(orders.probes);
         self.notes.extend(orders.notes);
         for proxy in 0..4 {
             if let Some(mark) = orders.mark {
-                let more = self.planner.orders_applied(self.now, proxy, mark);
+                self.planner.orders_applied(proxy, mark);
+                let more = self.planner.decide(self.now);
                 assert_eq!(more.lines, vec![], "an answer alone changes no line");
             }
         }
@@ -122,12 +129,13 @@
                             tries,
                             failed,
                             mean_ms,
+                            window_ms: 1000.0,
                         };
-                        self.tell(|p, now| p.tries_met(now, &met));
+                        self.planner.tries_met(self.now, &met);
                     }
                 }
             }
-            self.tell(|p, now| p.woken(now));
+            self.tell(|_, _| ());
         }
     }
 
@@ -138,6 +146,7 @@
     }
 }
 
+const PACE: f64 = 0.02;
 const WELL: Option<(f64, f64, f64)> = Some((10.0, 0.0, 200.0));
 
 #[test]
@@ -205,7 +214,7 @@
     let old = [1, 2, 3].map(|s| listed(s, Standing::Ready, Some(1000.0)));
     let drains = listed(4, Standing::Draining, None);
     fleet.list(Extent::Remembered, &[cold, old[0], old[1], old[2], drains]);
-    fleet.tell(|p, now| p.proxy_joined(now, 0, 0));
+    fleet.tell(|p, _| p.proxy_joined(0, 0, PACE));
     assert!(fleet.line(0) < 0.3 && fleet.line(1) == 1.0);
     assert_eq!(fleet.out.get(&4), Some(&true));
     assert_eq!(fleet.bound, vec![0]);
@@ -350,7 +359,7 @@
 fn a_cut_zone_leaves_and_comes_back_as_one() {
     let mut fleet = Fleet::warm();
     for proxy in [1, 3] {
-        fleet.tell(|p, now| p.proxy_left(now, proxy));
+        fleet.tell(|p, _| p.proxy_left(proxy));
     }
     let near = |s: usize, zone: usize| WELL.filter(|_| s < 8 && s.is_multiple_of(2) && zone == 0);
     fleet.pass(4, near);
@@ -361,7 +370,7 @@
     );
     assert!([0, 2, 4, 6].iter().all(|s| fleet.line(*s) == 1.0));
     assert!(fleet.probed.contains(&1), "the far servers are asked");
-    fleet.tell(|p, now| p.proxy_joined(now, 1, 1));
+    fleet.tell(|p, _| p.proxy_joined(1, 1, PACE));
     assert!(
         (0..8).all(|s| fleet.line(s) == 1.0),
         "back together, without a ramp"
@@ -453,7 +462,8 @@
     planner.roster_changed(0.0, Extent::Remembered, &roster);
     let mut binds = Vec::new();
     for proxy in 0..20 {
-        binds.extend(planner.proxy_joined(1.0, proxy, 0).binds);
+        planner.proxy_joined(proxy, 0, PACE);
+        binds.extend(planner.decide(1.0).binds);
     }
     assert!(!binds.is_empty() && binds.len() * 17 <= 150, "{binds:?}");
     // Few messages to a proxy: a flapping list does not use them all up.
@@ -489,16 +499,16 @@
         classes,
         ..opening()
     });
-    fleet.tell(|p, now| p.proxy_left(now, 9));
-    fleet.tell(|p, now| p.orders_applied(now, 9, 3));
+    fleet.tell(|p, _| p.proxy_left(9));
+    fleet.tell(|p, _| p.orders_applied(9, 3));
     fleet.pass(3, |s, _| WELL.filter(|_| s == 11));
     assert!(fleet.table.is_empty(), "no list named that server");
     let mut weightless = listed(0, Standing::Ready, None);
     weightless.weight = 0.0;
     fleet.list(Extent::Whole, &[weightless]);
+    fleet.tell(|p, _| p.proxy_joined(1, 0, PACE));
     assert!(fleet.line(0) > 0.0, "a weight of 0 is no weight listed");
-    fleet.tell(|p, now| p.proxy_joined(now, 1, 0));
-    fleet.tell(|p, now| p.proxy_joined(now, 1, 0));
+    fleet.tell(|p, _| p.proxy_joined(1, 0, PACE));
     assert_eq!(fleet.bound, vec![1, 1], "joined twice, bound anew");
 }
 
@@ -508,8 +518,8 @@
         must_ask: true,
         ..opening()
     });
-    assert!(fleet.planner.woken(fleet.now).ask_list);
-    assert!(!fleet.planner.woken(fleet.now + 1.0).ask_list);
+    assert!(fleet.planner.decide(fleet.now).ask_list);
+    assert!(!fleet.planner.decide(fleet.now + 1.0).ask_list);
     fleet.planner.roster_lost(fleet.now + 2.0);
-    assert!(fleet.planner.woken(fleet.now + 4000.0).ask_list);
+    assert!(fleet.planner.decide(fleet.now + 4000.0).ask_list);
 }
