Parts of one zone each; paces of proxies follow what comes; the verdict of silence taken out

Parts of one zone, proxies at home unless that part is busier by a third; a zone without joined proxies is not judged and its parts are left; a proxy's pace follows what comes to it.

--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -181,11 +181,11 @@
             }
             // What came to proxies, slices and peers: taken, checked, and no decision uses them yet.
             "Ingress" => {
-                for field in ["n", "bad", "windowNs"] {
-                    f.whole(field)?;
-                }
-                f.below("grade", i.classes)?;
-                i.planner.visits_came(f.below("agent", 65536)? as usize);
+                f.whole("bad")?;
+                let class = f.below("grade", i.classes)? as usize;
+                let (visits, window) = (f.whole("n")? as f64, ms(f.whole("windowNs")?));
+                let proxy = f.below("agent", 65536)? as usize;
+                i.planner.visits_came(proxy, class, visits, window);
             }
             "Custody" => {
                 f.whole("table")?;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,12 +22,8 @@
 const LINE_SLACK: f64 = 0.02;
 /// Time buckets that count as lately, and that must all be slow.
 const LATELY: u64 = 3;
-/// Visits that a verdict needs: expected ones for silence, met ones for the rest.
+/// Visits met that a verdict needs.
 const ENOUGH: f64 = 8.0;
-/// Silent: for so many of the fleet's mean times at the least.
-const SILENT: f64 = 4.0;
-/// The longest turn that a line of reports waits, by the usual one.
-const TURN: f64 = 1.5;
 /// Of the lines of reports that can come at one time, those that show that others wait.
 const FULL: f64 = 0.9;
 /// Failing: at least this share, and so many times the fleet's norm.
@@ -64,7 +60,9 @@
 const HALF: f64 = 0.5;
 const URGENT: f64 = 0.8;
 /// A part is this much busier than the least busy one before proxies are moved.
-const UNEVEN: f64 = 1.3;
+const UNEVEN: f64 = 1.2;
+/// What a part of another zone must be less busy by.
+const AWAY: f64 = 1.1;
 
 pub struct Planner {
     now: f64,
@@ -82,10 +80,9 @@
     /// The most tries by millisecond and weight that the fleet has carried short of overload.
     carried: f64,
     norms: Norms,
-    /// What came with the newest reports, and when; times of the next tick, of the alarm set, and of
+    /// What came with the newest reports; times of the next tick, of the alarm set, and of
     /// the next asking for the list.
     heard: Heard,
-    news: f64,
     tick: f64,
     alarm: f64,
     ask_at: f64,
@@ -96,7 +93,7 @@
 type Rule = fn(&mut Planner) -> bool;
 type Verdict = fn(&Planner, &Server) -> bool;
 
-const RULES: [Rule; 15] = [
+const RULES: [Rule; 14] = [
     Planner::ask_for_the_list,
     Planner::part_the_table,
     Planner::deal_a_server,
@@ -104,7 +101,6 @@
     Planner::allow_what_is_ready_again,
     Planner::see_a_cut_link,
     Planner::see_a_link_mended,
-    Planner::put_out_the_silent,
     Planner::put_out_the_failing,
     Planner::trim_the_slow,
     Planner::let_health_return,
@@ -152,7 +148,6 @@
             carried: 0.0,
             norms: Norms::default(),
             heard: Heard::default(),
-            news: now,
             tick: now + TICK_MS,
             alarm: now,
             ask_at: if told.must_ask { now } else { f64::INFINITY },
@@ -216,7 +211,8 @@
 
     /// A proxy joins, to which so many visits come by millisecond.
     pub fn proxy_joined(&mut self, proxy: usize, zone: usize, pace: f64) {
-        self.proxies.insert(proxy, Proxy::of(zone, pace));
+        let classes = self.ways.len();
+        self.proxies.insert(proxy, Proxy::of(zone, pace, classes));
     }
 
     pub fn proxy_left(&mut self, proxy: usize) {
@@ -229,7 +225,6 @@
     }
 
     pub fn tries_met(&mut self, now: f64, met: &Met) {
-        self.news = now;
         let server = self.servers.get_mut(met.server);
         if let Some(server) = server.filter(|_| met.tries > 0.0) {
             server.views[met.zone].note(now, self.told.bucket_ms, met);
@@ -237,8 +232,11 @@
         }
     }
 
-    pub fn visits_came(&mut self, _proxy: usize) {
+    pub fn visits_came(&mut self, proxy: usize, class: usize, visits: f64, window_ms: f64) {
         self.heard.lines += 1.0;
+        if let Some(p) = self.proxies.get_mut(&proxy) {
+            p.came(class, visits / window_ms.max(self.told.report_ms));
+        }
     }
 
     pub fn probe_answered(&mut self, now: f64, server: usize, fine: bool) {
@@ -272,24 +270,28 @@
         let pace = self.proxies.values().map(|p| p.pace).sum::<f64>() / proxies;
         let kept = (pace * self.told.kept_ms).max(2.0 * self.told.standing_lines);
         let many = if pace > 0.0 { servers / kept } else { 1.0 };
-        self.channel.parts = vec![Part::default(); (many as usize).max(1)];
+        for zone in 0..self.cut.len() {
+            let near = self.ready().filter(|s| s.zone == zone).count() as f64;
+            let parts = (many * near / servers).ceil() as usize;
+            self.channel.parts.extend(vec![Part::of(Some(zone)); parts]);
+        }
+        if many < 2.0 {
+            self.channel.parts = vec![Part::of(None)];
+        }
         true
     }
 
-    /// Each server is in one part: the one with the fewest, first of its own zone.
+    /// Each server is in one part: the one with the fewest, of its own zone if there is any.
     fn deal_a_server(&mut self) -> bool {
         let Some(s) = self.first(|s| s.ready() && s.part.is_none()) else {
             return false;
         };
-        let zone = self.servers[s].zone;
+        let (zone, parts) = (self.servers[s].zone, &self.channel.parts);
         let there = |part: &usize| {
-            let dealt = self.ready().filter(|o| o.part == Some(*part));
-            (
-                dealt.clone().filter(|o| o.zone == zone).count(),
-                dealt.count(),
-            )
+            let dealt = self.ready().filter(|o| o.part == Some(*part)).count();
+            (parts[*part].away(zone), dealt)
         };
-        self.servers[s].part = (0..self.channel.parts.len()).min_by_key(there);
+        self.servers[s].part = (0..parts.len()).min_by_key(there);
         !self.channel.parts.is_empty()
     }
 
@@ -315,8 +317,9 @@
                 |there| state::good_across(&self.servers, *zone, there, self.norms.lately - 1);
             let (there, here) = (good(true), good(false));
             let expected = here.0 * there.1 / here.1.max(f64::MIN_POSITIVE);
+            let missed = expected >= ENOUGH && there.0 < expected * STRAIN_FAILING;
             let apart = !self.cut[*zone] && !self.joined(*zone);
-            apart && expected >= ENOUGH && there.0 < expected * STRAIN_FAILING
+            apart && (missed || self.channel.parts.len() > 1)
         };
         let Some(zone) = (0..self.cut.len()).find(off) else {
             return false;
@@ -339,15 +342,9 @@
         true
     }
 
-    /// Guards against servers that take visits and answer none: nothing comes back at all, long
-    /// before the first time-outs show. Also meets machines that vanish while the list still has
-    /// them. May harm a server that stands still for seconds and would have come back.
-    fn put_out_the_silent(&mut self) -> bool {
-        self.judge(Planner::silent, 0.0, self.norms.half, "silent")
-    }
-
-    /// Guards against servers that fail much more than the fleet does, fast or late. May harm when
-    /// one class fails by itself and comes to few servers.
+    /// Guards against servers that fail much more than the fleet does, fast or by time-outs: also those
+    /// that take visits and answer none, and machines that vanished while the list still has them.
+    /// May harm when one class fails by itself and comes to few servers.
     fn put_out_the_failing(&mut self) -> bool {
         self.judge(Planner::failing, 0.0, self.norms.half, "failing")
     }
@@ -449,36 +446,40 @@
             }
             wrote = true;
             self.channel.add(Some(part), 1.0, 0.0);
-            self.servers[s].write(self.now, t);
+            self.servers[s].write(t);
             self.out.lines.retain(|(_, other, _)| *other != s);
             self.out.lines.push((part, s, t));
         }
         wrote || due
     }
 
-    /// A joining proxy is bound to the part with the most weight for the visits of its zone; one that
-    /// still waits keeps the table it holds. When a part is much busier than another for what its
+    /// A joining proxy is bound to the least busy part, at home if it can be; one that still waits
+    /// keeps the table it holds. When a part is much busier than another for what its
     /// servers take, as after a shrink or a shift, proxies are moved; from an empty one, at once.
     fn bind_a_proxy(&mut self) -> bool {
+        let loads = self.channel.loads(&self.servers, &self.proxies, &self.cut);
+        let cost = |p: &Proxy, part: usize, more: f64| {
+            let away = self.channel.parts[part].away(p.zone);
+            (loads[part].0 + more) / loads[part].1 * if away { AWAY } else { 1.0 }
+        };
+        let least = |p: &Proxy| {
+            let open = (0..loads.len()).filter(|part| loads[*part].1 > 0.0);
+            open.min_by(|a, b| cost(p, *a, p.pace).total_cmp(&cost(p, *b, p.pace)))
+        };
+        let uneven = |p: &Proxy, from: usize| {
+            let better = |to| cost(p, from, 0.0) > UNEVEN * cost(p, to, p.pace);
+            loads[from].1 == 0.0 || p.pace > 0.0 && least(p).is_some_and(better)
+        };
         let waiting = self.proxies.iter().find(|(_, p)| p.part.is_none());
-        let zone = waiting.map(|(_, p)| p.zone);
-        let loads = self.channel.loads(&self.servers, &self.proxies, zone);
-        let busy = |part: usize| loads[part].0 / loads[part].1;
-        let open = (0..loads.len()).filter(|part| loads[*part].1 > 0.0);
-        let Some(to) = open.min_by(|a, b| busy(*a).total_cmp(&busy(*b))) else {
+        let moves = |p: &Proxy| p.part.is_some_and(|from| uneven(p, from));
+        let found = waiting.or_else(|| self.proxies.iter().find(|(_, p)| moves(p)));
+        let Some((i, to)) = found.and_then(|(i, p)| Some((*i, least(p)?))) else {
             return false;
         };
-        let over = |p: &Proxy, from: usize| {
-            let after = busy(to) + p.pace / loads[to].1;
-            loads[from].1 == 0.0 || p.pace > 0.0 && busy(from) > UNEVEN * after
-        };
-        let over = |p: &Proxy| p.part.is_some_and(|from| over(p, from));
-        let found = waiting.or_else(|| self.proxies.iter().find(|(_, p)| over(p)));
         let price = self.table_lines(to) + self.told.message_lines;
-        let once = |i: &usize| self.out.binds.iter().all(|b| b.0 != *i) && self.fits(HALF, price);
-        let Some(i) = found.map(|(i, _)| *i).filter(once) else {
+        if self.out.binds.iter().any(|b| b.0 == i) || !self.fits(HALF, price) {
             return false;
-        };
+        }
         self.channel.add(None, 0.0, price);
         self.out.binds.push((i, to));
         if let Some(proxy) = self.proxies.get_mut(&i) {
@@ -559,18 +560,6 @@
         norm.0 > STRAIN_FAILING || norm.1 > self.told.tight_ms * limit
     }
 
-    /// Nothing came back though its own pace, and its line at the pace of the others, both say that
-    /// much should have.
-    fn silent(&self, s: &Server) -> bool {
-        let moved = self.now - s.line_since < TICK_MS;
-        let line = s.line.min(if moved { s.line_before } else { s.line });
-        let others = self.norms.usual * line / self.norms.lately as f64;
-        let own = s.sum(0, 2 * self.norms.lately).tries / (2 * self.norms.lately) as f64;
-        let quiet = self.news - s.heard() - self.norms.wait * TURN;
-        let expected = quiet / self.told.bucket_ms * own.min(others);
-        expected >= 0.6 * ENOUGH && quiet >= SILENT * self.norms.half.1
-    }
-
     /// Failing for every zone that has sent it enough: failures seen from one zone only point to a
     /// link. One whose good answers have been slow is overloaded, not broken: others would be next.
     fn failing(&self, s: &Server) -> bool {
@@ -604,7 +593,8 @@
         let guilty = |s: &Server| {
             let fits = s.weight * s.health * (1.0 - keep) <= room;
             let settled = self.now - s.judged > window || s.health == 1.0;
-            let used = s.ready() && s.line > 0.0 && s.health > 0.0 && !self.cut[s.zone];
+            let asked = s.part.is_some_and(|p| self.channel.parts[p].proxies > 0.0);
+            let used = asked && s.ready() && s.line > 0.0 && s.health > 0.0 && !self.cut[s.zone];
             let needed = strained && s.lately.good() > 0.0;
             used && fits && settled && !needed && bad(self, s)
         };
@@ -623,7 +613,7 @@
     fn forgive(&mut self, zone: usize, cut: bool, word: &str) {
         self.cut[zone] = cut;
         for s in self.servers.iter_mut().filter(|s| s.zone == zone) {
-            (s.health, s.judged, s.line_since) = (1.0, self.now, self.now);
+            (s.health, s.judged) = (1.0, self.now);
             s.views.fill(View::since(self.now));
         }
         self.out.notes.push(format!("zone {zone} {word}"));
--- a/src/state.rs
+++ b/src/state.rs
@@ -111,9 +111,8 @@
     pub asked: f64,
     pub answered: f64,
     pub line: f64,
-    /// The line before the last change, and when that was: visits under way still follow it.
+    /// The line before the last change: visits under way still follow it.
     pub line_before: f64,
-    pub line_since: f64,
     pub views: Vec<View>,
     /// The sum of all views lately, reckoned once an input.
     pub lately: Bucket,
@@ -138,7 +137,6 @@
             answered: f64::NEG_INFINITY,
             line: 0.0,
             line_before: 0.0,
-            line_since: f64::NEG_INFINITY,
             views: vec![View::default(); zones],
             lately: Bucket::default(),
         }
@@ -148,11 +146,6 @@
         self.standing == Standing::Ready
     }
 
-    pub fn heard(&self) -> f64 {
-        let heard = self.views.iter().map(|v| v.heard);
-        heard.fold(self.line_since, f64::max)
-    }
-
     /// Lets the sums end where a line that waits its turn can reach, and adds them up.
     pub fn reckon(&mut self, now: f64, told: &Bounds, norms: &Norms) {
         for v in &mut self.views {
@@ -174,8 +167,8 @@
         views.fold(Bucket::default(), |a, (_, v)| a.and(&v.sum(0, many)))
     }
 
-    pub fn write(&mut self, now: f64, line: f64) {
-        (self.line_before, self.line_since) = (self.line, now);
+    pub fn write(&mut self, line: f64) {
+        self.line_before = self.line;
         self.line = line;
     }
 }
@@ -196,8 +189,9 @@
 #[derive(Default)]
 pub struct Proxy {
     pub zone: usize,
-    /// Visits that come to it by millisecond, as told when it joined.
+    /// Visits that come to it by millisecond, in all and by class.
     pub pace: f64,
+    paces: Vec<f64>,
     /// The part of the table that it is bound to.
     pub part: Option<usize>,
     /// Lines that this reply sends it for its binding.
@@ -208,14 +202,21 @@
 }
 
 impl Proxy {
-    pub fn of(zone: usize, pace: f64) -> Proxy {
+    pub fn of(zone: usize, pace: f64, classes: usize) -> Proxy {
         Proxy {
             zone,
             pace,
+            paces: vec![pace / classes.max(1) as f64; classes],
             ..Proxy::default()
         }
     }
 
+    /// What came of a class moves its pace half the way.
+    pub fn came(&mut self, class: usize, pace: f64) {
+        self.paces[class] = (self.paces[class] + pace) / 2.0;
+        self.pace = self.paces.iter().sum();
+    }
+
     pub fn wrote(&mut self, now: f64, span_ms: f64, number: u64, lines: f64) {
         self.unanswered.push_back((number, lines));
         self.written.retain(|at| now - at < span_ms);
@@ -244,13 +245,30 @@
 
 /// A part of the shared table: proxies bound to it, the most messages that any of them was written
 /// lately, and lines that this reply adds.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Part {
-    proxies: f64,
+    /// The zone of its servers; none if they are of any.
+    zone: Option<usize>,
+    pub proxies: f64,
     messages: f64,
     adds: f64,
 }
 
+impl Part {
+    pub fn of(zone: Option<usize>) -> Part {
+        Part {
+            zone,
+            proxies: 0.0,
+            messages: 0.0,
+            adds: 0.0,
+        }
+    }
+
+    pub fn away(&self, zone: usize) -> bool {
+        self.zone.is_some_and(|z| z != zone)
+    }
+}
+
 /// The channel: what waits in it, and what this reply adds, as one message a proxy.
 #[derive(Default)]
 pub struct Channel {
@@ -303,23 +321,21 @@
         messages.fold(0.0, f64::max)
     }
 
-    /// For each part, visits that come to its proxies (of one zone, if asked), and weight of its lines.
+    /// For each part, visits that come to its proxies, and weight of its lines; none across a cut.
     pub fn loads(
         &self,
         servers: &[Server],
         proxies: &BTreeMap<usize, Proxy>,
-        zone: Option<usize>,
+        cut: &[bool],
     ) -> Vec<(f64, f64)> {
         let mut loads = vec![(0.0, 0.0); self.parts.len()];
-        for p in proxies
-            .values()
-            .filter(|p| zone.is_none_or(|z| z == p.zone))
-        {
+        for p in proxies.values() {
             if let Some(part) = p.part {
                 loads[part].0 += p.pace;
             }
         }
-        for s in servers.iter().filter(|s| s.ready() && !s.withdrawn) {
+        let open = |s: &&Server| s.ready() && !s.withdrawn && !cut[s.zone];
+        for s in servers.iter().filter(open) {
             if let Some(part) = s.part {
                 loads[part].1 += s.line;
             }
@@ -330,7 +346,9 @@
     /// Begins a reply.
     pub fn open(&mut self, now: f64, proxies: &BTreeMap<usize, Proxy>) {
         (self.waiting, self.adds, self.strays) = (0.0, 0.0, 0.0);
-        self.parts.fill(Part::default());
+        for part in &mut self.parts {
+            *part = Part::of(part.zone);
+        }
         for p in proxies.values() {
             self.waiting += p.waiting(self.past);
             if let Some(part) = p.part.map(|part| &mut self.parts[part]) {
@@ -386,8 +404,6 @@
     /// At the median and at the best quarter: failing share and time of good tries.
     pub half: (f64, f64),
     pub quarter: (f64, f64),
-    /// Tries lately by weight of line, of all servers that had any.
-    pub usual: f64,
     /// Tries lately, and the weight of the servers that had any.
     pub tries: f64,
     pub used: f64,
@@ -401,16 +417,13 @@
         let used = servers.iter().filter(|s| s.ready() && s.line > 0.0);
         let tried = used.filter(|s| s.lately.tries > 0.0);
         let good = tried.clone().filter(|s| s.lately.good() > 0.0);
-        let failing = sorted(tried.clone().map(|s| s.lately.share_failed()).collect());
+        let failing = sorted(tried.map(|s| s.lately.share_failed()).collect());
         let times = sorted(good.map(|s| s.lately.mean_ms()).collect());
         let norm = |part| (ranked(&failing, part), ranked(&times, part));
         (self.half, self.quarter) = (norm(0.5), norm(0.25));
         let met = servers.iter().filter(|s| s.lately.tries > 0.0);
         self.tries = met.clone().map(|s| s.lately.tries).sum();
         self.used = met.map(|s| s.weight).sum();
-        let tries: f64 = tried.clone().map(|s| s.lately.tries).sum();
-        let lines: f64 = tried.map(|s| s.line).sum();
-        self.usual = tries / lines.max(f64::MIN_POSITIVE);
     }
 }
 
