--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,10 +36,12 @@
 const STRAIN_FAILING: f64 = 0.1;
 /// Overload: the fleet's median time over this share of the tightest soft limit.
 const OVERLOAD: f64 = 0.9;
+/// No more is refused when so little of what the fleet has carried is tried.
+const DRAINS: f64 = 0.5;
 /// A step of trimming, and the least health that it leaves.
 const TRIM: f64 = 0.6;
 const TRIM_LEAST: f64 = 0.1;
-/// Of the listed weight of ready servers, what health may take away at most.
+/// Servers are put out until so much of the listed weight of ready servers has no health.
 const MOST_EJECTED: f64 = 0.35;
 /// The part of what pushes a cold server over that its line may bring; what of that is left until
 /// the fleet's pace is known; what it is divided by in overload; and the most that a line grows by
@@ -385,7 +387,9 @@
     /// where a deployment can refuse, a guard against overload: the least earnings go first.
     fn set_levels_and_tries(&mut self) -> bool {
         if self.told.may_refuse && self.now - self.level_since >= TICK_MS {
-            let heavy = self.strained(self.norms.half, OVERLOAD);
+            // What is slow while far less is tried than was carried is a backlog that drains.
+            let tried = self.norms.pace(self.window_ms()) >= DRAINS * self.carried;
+            let heavy = tried && self.strained(self.norms.half, OVERLOAD);
             let (down, up) = (self.level * 0.8, self.level + 0.1);
             let level = if heavy { down } else { up };
             (self.level, self.level_since) = (level.clamp(0.1, 1.0), self.now);
@@ -550,8 +554,7 @@
         }
         self.norms.weigh(&self.servers);
         if self.norms.used > 0.0 && !self.strained(self.norms.half, OVERLOAD) {
-            let pace = self.norms.tries / self.window_ms();
-            self.carried = self.carried.max(pace / self.norms.used);
+            self.carried = self.carried.max(self.norms.pace(self.window_ms()));
         }
     }
 
@@ -580,18 +583,17 @@
         s.lately.tries >= ENOUGH && each.all(late)
     }
 
-    /// Takes health from the first server that the verdict is on, within what may be ejected; in a
-    /// strained fleet only where no good answer comes at all, and nothing is lost. Evidence against
-    /// most of the fleet at once is not taken for a fault of each server.
+    /// Takes health from the first server that the verdict is on; all of it only within what may be
+    /// ejected: evidence against most of the fleet is not a fault of each server, but a trim, short of
+    /// strain, only shares the work out. In a strained fleet only where no good answer comes, and nothing is lost.
     fn judge(&mut self, bad: Verdict, keep: f64, norm: (f64, f64), word: &str) -> bool {
         let strained = self.strained(norm, STRAIN);
         let window = self.told.bucket_ms * self.norms.lately as f64 + self.norms.wait;
-        let left = self
-            .ready()
-            .map(|s| s.weight * (MOST_EJECTED - 1.0 + s.health));
-        let room: f64 = left.sum();
+        let left = |s: &Server| s.weight * (MOST_EJECTED - 1.0 + s.health);
+        let room: f64 = self.ready().map(left).sum();
         let guilty = |s: &Server| {
-            let fits = s.weight * s.health * (1.0 - keep) <= room;
+            let shares = keep > 0.0 && !strained;
+            let fits = shares || s.weight * s.health * (1.0 - keep) <= room;
             let settled = self.now - s.judged > window || s.health == 1.0;
             let asked = s.part.is_some_and(|p| self.channel.parts[p].proxies > 0.0);
             let used = asked && s.ready() && s.line > 0.0 && s.health > 0.0 && !self.cut[s.zone];
--- a/src/state.rs
+++ b/src/state.rs
@@ -413,6 +413,11 @@
 }
 
 impl Norms {
+    /// Tries by millisecond and weight.
+    pub fn pace(&self, window_ms: f64) -> f64 {
+        self.tries / self.used.max(f64::MIN_POSITIVE) / window_ms
+    }
+
     pub fn weigh(&mut self, servers: &[Server]) {
         let used = servers.iter().filter(|s| s.ready() && s.line > 0.0);
         let tried = used.filter(|s| s.lately.tries > 0.0);
