--- a/src/rules.rs
+++ b/src/rules.rs
@@ -60,7 +60,7 @@
 const LOW: f64 = 0.7;
 /// Shares of the backlog that lines may fill: tables that can wait, and falls and returns.
 const HALF: f64 = 0.5;
-const URGENT: f64 = 0.8;
+const URGENT: f64 = 0.7;
 /// A part is this much busier than the least busy one before proxies are moved.
 const UNEVEN: f64 = 1.2;
 /// What a part of another zone must be less busy by.
@@ -277,7 +277,7 @@
             let parts = (many * near / servers).ceil() as usize;
             self.channel.parts.extend(vec![Part::of(Some(zone)); parts]);
         }
-        if many < 2.0 {
+        if many < 1.5 {
             self.channel.parts = vec![Part::of(None)];
         }
         true
@@ -299,13 +299,16 @@
 
     /// Draining or gone: withdrawn at once, from whatever tables the proxies hold; but never bare.
     fn withdraw_what_is_not_ready(&mut self) -> bool {
-        let out = |s: &Server| s.known && !s.ready() && !s.withdrawn;
-        let found = self.first(|s| out(s) && !self.bare(s.part));
+        let ready = self.ready().next().is_some() && !self.proxies.is_empty();
+        let bare = ready && !self.ready().any(|s| s.line > 0.0);
+        let found = self.first(|s| s.known && !s.ready() && !s.withdrawn && !bare);
         found.is_some_and(|s| self.shut_or_allow(s, true, 1.0))
     }
 
     fn allow_what_is_ready_again(&mut self) -> bool {
-        let found = self.first(|s| s.ready() && s.withdrawn);
+        // A cold one only once its line is low.
+        let low = |s: &Server| !s.cold || s.line <= s.weight * self.able(s);
+        let found = self.first(|s| s.ready() && s.withdrawn && low(s));
         found.is_some_and(|s| self.shut_or_allow(s, false, URGENT))
     }
 
@@ -428,7 +431,8 @@
         let bare: Vec<_> = (0..stay.len()).map(|p| self.bare(Some(p))).collect();
         let off = |(s, part, t): &(usize, usize, f64)| {
             let changed = (t - held(*s)).abs() > LINE_SLACK * held(*s);
-            let urgent = bare[*part] || stay[*part] && *t < held(*s) * LOW;
+            let shut = self.servers[*s].withdrawn && !self.servers[*s].ready();
+            let urgent = bare[*part] || stay[*part] && *t < held(*s) * LOW && !shut;
             (changed || (*t == 0.0) != (held(*s) == 0.0)) && (due || urgent)
         };
         let mut lines: Vec<_> = targets.into_iter().filter(off).collect();
@@ -637,12 +641,12 @@
         let line = |s: &Server, p: usize| if some[p] { judged(s) } else { whole(s) };
         // Proxies avoid what fails, so only what the warm servers answer counts as their part.
         let (mut warm, mut tries) = (vec![0.0; some.len()], vec![0.0; some.len()]);
-        let mut any = vec![false; some.len()];
+        let mut any = false;
         for (s, p) in dealt() {
             tries[p] += s.lately.tries;
             if !s.cold {
                 warm[p] += line(s, p) * (1.0 - s.lately.share_failed());
-                any[p] |= line(s, p) > 0.0;
+                any |= line(s, p) > 0.0;
             }
         }
         let over = self.strained(self.norms.half, OVERLOAD);
@@ -650,7 +654,9 @@
         let room = |p: usize| {
             // A controller that has seen nothing carried yet reckons with a fleet far over its load.
             let known = self.carried > 0.0 && tries[p] > 0.0;
-            let room = warm[p] * self.carried / (tries[p] / self.window_ms());
+            // Where none is warm, what the part as a whole is sent is up to who is bound to it.
+            let some = warm[p] * self.carried / (tries[p] / self.window_ms());
+            let room = if warm[p] > 0.0 { some } else { 1.0 };
             if known {
                 room / caution
             } else {
@@ -667,11 +673,7 @@
             let fast = s.lately.good() > 0.0 && s.lately.mean_ms() < self.told.tight_ms * LAG;
             let grown = if little && fast { COLD_GROWTH } else { 0.0 };
             let most = (grown * s.line).max(part * s.weight);
-            let budget = if s.cold && any[p] {
-                most
-            } else {
-                f64::INFINITY
-            };
+            let budget = if s.cold && any { most } else { f64::INFINITY };
             line(s, p).min(budget)
         };
         let dealt = self.servers.iter().enumerate();
@@ -700,13 +702,14 @@
     }
 
     /// Pacing: all lines that no proxy has answered for may still wait in the channel, but for those
-    /// on their way, and each proxy is written only so many messages. What can wait leaves a share
-    /// of both free.
+    /// on their way, and each proxy is written only so many messages. What can wait leaves a share of
+    /// both free, and a reserve even if nothing is on its way.
     fn fits(&self, share: f64, price: f64) -> bool {
         let most = (self.told.most_messages - 1.0) * share.max(0.7);
-        let queued = (self.channel.waiting - self.told.under_way).max(0.0);
-        let lines = queued + self.channel.adds + price;
-        lines <= self.told.most_waiting * share && self.channel.busiest() < most
+        let lines = self.channel.waiting + self.channel.adds + price;
+        let queued = lines - self.told.under_way.min(self.channel.waiting);
+        let room = queued.max(lines * share / share.max(URGENT)) <= self.told.most_waiting * share;
+        room && self.channel.busiest() < most
     }
 
     /// Goes through the rules until none fires, then closes the message and sets the alarm.
