--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -253,7 +253,7 @@
         let mut fleet = Fleet::warm();
         let during = |s, _| if s == 3 { seen } else { WELL.filter(|_| s < 8) };
         fleet.pass(6, during);
-        assert!(right(fleet.line(3)));
+        assert!(right(fleet.line(3)), "{case}: {:?}", fleet.notes);
         assert!((0..8).filter(|s| *s != 3).all(|s| fleet.line(s) == 1.0));
     }
 }
