--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -34,6 +34,30 @@
     }
 }
 
+fn but(change: impl FnOnce(&mut Opening)) -> Opening {
+    let mut told = opening();
+    change(&mut told);
+    told
+}
+
+type Seen = Option<(f64, f64, f64)>;
+
+/// What is seen at one server, and at the seven others.
+fn one(odd: usize, seen: Seen, others: Seen) -> impl Fn(usize, usize) -> Seen {
+    move |s, _| {
+        if s == odd {
+            seen
+        } else {
+            others.filter(|_| s < 8)
+        }
+    }
+}
+
+fn ready(servers: usize) -> Vec<Listed> {
+    let servers = 0..servers;
+    servers.map(|s| listed(s, Standing::Ready, None)).collect()
+}
+
 /// A planner, and what the proxies would hold if every order arrived.
 struct Fleet {
     planner: Planner,
@@ -61,10 +85,7 @@
     /// So many ready servers, zones in turn, and two proxies in each zone.
     fn of(servers: usize, told: &Opening) -> Fleet {
         let mut fleet = Fleet::bare(told);
-        let roster: Vec<_> = (0..servers)
-            .map(|s| listed(s, Standing::Ready, None))
-            .collect();
-        fleet.list(Extent::Remembered, &roster);
+        fleet.list(Extent::Remembered, &ready(servers));
         for proxy in 0..4 {
             fleet.tell(|p, _| p.proxy_joined(proxy, proxy % 2, PACE));
         }
@@ -170,16 +191,9 @@
 #[test]
 fn a_server_dropped_from_a_whole_list_is_withdrawn_unless_it_may_stay() {
     for may_stay in [false, true] {
-        let told = Opening {
-            dropped_may_stay: may_stay,
-            ..opening()
-        };
+        let told = but(|o| o.dropped_may_stay = may_stay);
         let mut fleet = Fleet::of(3, &told);
-        let kept = [
-            listed(0, Standing::Ready, None),
-            listed(1, Standing::Ready, None),
-        ];
-        fleet.list(Extent::Whole, &kept);
+        fleet.list(Extent::Whole, &ready(2));
         assert_eq!(fleet.line(2) == 1.0, may_stay);
         fleet.list(Extent::Changes, &[listed(0, Standing::Draining, None)]);
         assert_eq!(fleet.line(0), 0.0, "a drain binds in either case");
@@ -231,29 +245,18 @@
 
 #[test]
 fn evidence_moves_the_line_of_the_guilty_only() {
-    type Case = (&'static str, Option<(f64, f64, f64)>, fn(f64) -> bool);
+    type Case = (&'static str, (f64, f64, f64), std::ops::RangeInclusive<f64>);
     let cases: [Case; 5] = [
-        ("fails fast", Some((10.0, 7.0, 50.0)), |l| l == 0.0),
-        (
-            "answers nothing, all time out",
-            Some((10.0, 10.0, 0.0)),
-            |l| l == 0.0,
-        ),
-        ("slow", Some((10.0, 0.0, 1500.0)), |l| 0.0 < l && l < 0.7),
-        (
-            "overloaded: slow and failing",
-            Some((10.0, 6.0, 1500.0)),
-            |l| 0.0 < l && l < 0.7,
-        ),
-        ("a failure now and then", Some((10.0, 1.0, 220.0)), |l| {
-            l == 1.0
-        }),
+        ("fails fast", (10.0, 7.0, 50.0), 0.0..=0.0),
+        ("all time out", (10.0, 10.0, 0.0), 0.0..=0.0),
+        ("slow", (10.0, 0.0, 1500.0), 0.05..=0.7),
+        ("slow and failing", (10.0, 6.0, 1500.0), 0.05..=0.7),
+        ("a failure now and then", (10.0, 1.0, 220.0), 1.0..=1.0),
     ];
     for (case, seen, right) in cases {
         let mut fleet = Fleet::warm();
-        let during = |s, _| if s == 3 { seen } else { WELL.filter(|_| s < 8) };
-        fleet.pass(6, during);
-        assert!(right(fleet.line(3)), "{case}: {:?}", fleet.notes);
+        fleet.pass(6, one(3, Some(seen), WELL));
+        assert!(right.contains(&fleet.line(3)), "{case}: {:?}", fleet.notes);
         assert!((0..8).filter(|s| *s != 3).all(|s| fleet.line(s) == 1.0));
     }
 }
@@ -277,8 +280,7 @@
 fn an_overloaded_server_that_no_longer_answers_is_trimmed_on() {
     let mut fleet = Fleet::warm();
     for seen in [(10.0, 6.0, 1500.0), (10.0, 10.0, 0.0)] {
-        let during = |s, _| Some(seen).filter(|_| s == 3);
-        fleet.pass(7, |s, z| during(s, z).or(WELL.filter(|_| s < 8)));
+        fleet.pass(7, one(3, Some(seen), WELL));
     }
     assert!(fleet.line(3) < 0.3, "{:?}", fleet.notes);
 }
@@ -289,14 +291,7 @@
         let mut fleet = Fleet::warm();
         let slump = Some((10.0, 0.0, 600.0));
         fleet.pass(4, |s, _| slump.filter(|_| s < 8));
-        let during = |s, _| {
-            if s == 3 {
-                Some(seen)
-            } else {
-                slump.filter(|_| s < 8)
-            }
-        };
-        fleet.pass(4, during);
+        fleet.pass(4, one(3, Some(seen), slump));
         assert_eq!(fleet.line(3) == 0.0, out, "{:?}", fleet.notes);
     }
 }
@@ -305,14 +300,14 @@
 fn failures_seen_from_one_zone_only_point_to_a_link() {
     let mut fleet = Fleet::warm();
     // Server 3 fails for zone 0 and does well for zone 1.
-    let seen = |s, zone| {
-        if (s, zone) == (3, 0) {
-            Some((10.0, 10.0, 0.0))
-        } else {
-            WELL
-        }
+    let link = |s, zone| {
+        one(
+            3,
+            Some((10.0, 10.0, 0.0)).filter(|_| zone == 0).or(WELL),
+            WELL,
+        )(s, zone)
     };
-    fleet.pass(4, |s, zone| seen(s, zone).filter(|_| s < 8));
+    fleet.pass(4, link);
     assert_eq!(fleet.line(3), 1.0);
 }
 
@@ -335,18 +330,11 @@
 fn silence_is_not_health_and_an_answer_leads_to_the_ramp() {
     for answers in [false, true] {
         let mut fleet = Fleet::warm();
-        let hung = |s| {
-            if s == 3 {
-                Some((10.0, 10.0, 0.0))
-            } else {
-                WELL
-            }
-        };
-        fleet.pass(3, |s, _| hung(s).filter(|_| s < 8));
+        fleet.pass(3, one(3, Some((10.0, 10.0, 0.0)), WELL));
         assert_eq!(fleet.line(3), 0.0);
         assert!(fleet.probed.contains(&3));
         fleet.tell(|p, now| p.probe_answered(now, 3, answers));
-        fleet.pass(5, |s, _| WELL.filter(|_| s < 8 && s != 3));
+        fleet.pass(5, one(3, None, WELL));
         assert_eq!(fleet.line(3) > 0.0, answers);
         assert!(fleet.line(3) < 0.5, "through the ramp");
     }
@@ -358,7 +346,7 @@
     let mut fleet = Fleet::of(8, &opening());
     fleet.pass(6, |s, _| WELL.filter(|_| s < 8));
     fleet.list(Extent::Changes, &[listed(0, Standing::Gone, None)]);
-    let jam = |s, _| Some((30.0, 27.0, 1800.0)).filter(|_| (1..8).contains(&s));
+    let jam = |s, z| one(0, None, Some((30.0, 27.0, 1800.0)))(s, z);
     fleet.pass(4, jam);
     let back = listed(0, Standing::Ready, Some(fleet.now));
     fleet.list(Extent::Changes, &[back]);
@@ -378,25 +366,14 @@
     fleet.pass(6, |s, _| WELL.filter(|_| s < 8));
     let back = listed(0, Standing::Ready, Some(fleet.now));
     fleet.list(Extent::Changes, &[back]);
-    let late = |s, _| Some((30.0, 2.0, 950.0)).filter(|_| (1..8).contains(&s));
-    let few = |s, zone| {
-        if s == 0 {
-            Some((1.0, 0.0, 300.0))
-        } else {
-            late(s, zone)
-        }
-    };
-    fleet.pass(4, few);
+    fleet.pass(4, one(0, Some((1.0, 0.0, 300.0)), Some((30.0, 2.0, 950.0))));
     assert!(fleet.line(0) > 0.25, "{}", fleet.line(0));
 }
 
 #[test]
 fn further_tries_follow_proof_only_and_levels_spare_the_dear() {
     for admission in [Admission::Unused, Admission::Share] {
-        let told = Opening {
-            admission,
-            ..opening()
-        };
+        let told = but(|o| o.admission = admission);
         let mut fleet = Fleet::of(8, &told);
         fleet.pass(10, |s, _| Some((10.0, 4.0, 1500.0)).filter(|_| s < 8));
         assert!(fleet.levels.values().all(|l| l.1 == Tries::OnProof));
@@ -414,13 +391,9 @@
 #[test]
 fn pacing_keeps_the_queue_and_the_messages_short() {
     // A channel that answers nothing: half the backlog and no more is written to.
-    let told = Opening {
-        most_waiting: 300.0,
-        ..opening()
-    };
+    let told = but(|o| o.most_waiting = 300.0);
     let mut planner = Planner::begun(0.0, 1, &told);
-    let roster: Vec<_> = (0..10).map(|s| listed(s, Standing::Ready, None)).collect();
-    planner.roster_changed(0.0, Extent::Remembered, &roster);
+    planner.roster_changed(0.0, Extent::Remembered, &ready(10));
     let mut binds = Vec::new();
     for proxy in 0..20 {
         planner.proxy_joined(proxy, 0, PACE);
@@ -428,34 +401,21 @@
     }
     assert!(!binds.is_empty() && binds.len() * 17 <= 150, "{binds:?}");
     // Few messages to a proxy: a flapping list does not use them all up.
-    let told = Opening {
-        most_messages: 10.0,
-        ..opening()
-    };
+    let told = but(|o| o.most_messages = 10.0);
     let mut fleet = Fleet::of(6, &told);
     fleet.messages = 0;
     for round in 0..40 {
         fleet.now += 200.0;
-        let standing = if round % 2 == 0 {
-            Standing::Gone
-        } else {
-            Standing::Ready
-        };
-        fleet.list(
-            Extent::Changes,
-            &[listed(round % 5, standing, Some(fleet.now))],
-        );
+        let standing = [Standing::Gone, Standing::Ready][round % 2];
+        let flaps = listed(round % 5, standing, Some(fleet.now));
+        fleet.list(Extent::Changes, &[flaps]);
     }
     assert!(fleet.messages <= 10);
 }
 
 #[test]
 fn odd_input_is_taken_calmly() {
-    let classes = vec![];
-    let mut fleet = Fleet::bare(&Opening {
-        classes,
-        ..opening()
-    });
+    let mut fleet = Fleet::bare(&but(|o| o.classes = vec![]));
     fleet.tell(|p, _| p.proxy_left(9));
     fleet.tell(|p, _| p.orders_applied(9, 3));
     fleet.pass(3, |s, _| WELL.filter(|_| s == 11));
@@ -471,10 +431,7 @@
 
 #[test]
 fn the_list_is_asked_for_where_it_must_be_and_again_when_lost() {
-    let mut fleet = Fleet::bare(&Opening {
-        must_ask: true,
-        ..opening()
-    });
+    let mut fleet = Fleet::bare(&but(|o| o.must_ask = true));
     assert!(fleet.planner.decide(fleet.now).ask_list);
     assert!(!fleet.planner.decide(fleet.now + 1.0).ask_list);
     fleet.planner.roster_lost(fleet.now + 2.0);
@@ -484,10 +441,7 @@
 /// A fleet of so many servers and proxies, zones in turn; few visits to each proxy.
 fn large(servers: usize, proxies: usize, told: &Opening) -> (Planner, Vec<usize>, Orders) {
     let mut planner = Planner::begun(0.0, 7, told);
-    let roster: Vec<_> = (0..servers)
-        .map(|s| listed(s, Standing::Ready, None))
-        .collect();
-    planner.roster_changed(0.0, Extent::Remembered, &roster);
+    planner.roster_changed(0.0, Extent::Remembered, &ready(servers));
     (0..proxies).for_each(|p| planner.proxy_joined(p, p % 2, 0.002));
     let orders = planner.decide(0.0);
     let mut parts = vec![usize::MAX; servers];
@@ -496,11 +450,7 @@
 }
 
 fn roomy() -> Opening {
-    let most_waiting = 1e6;
-    Opening {
-        most_waiting,
-        ..opening()
-    }
+    but(|o| o.most_waiting = 1e6)
 }
 
 #[test]
@@ -533,10 +483,7 @@
 fn bindings_are_paid_singly_and_drains_keep_a_reserve() {
     // At size nobody was ever bound, and withdrawals found the channel full of other lines.
     let most_waiting = 2000.0;
-    let told = Opening {
-        most_waiting,
-        ..opening()
-    };
+    let told = but(|o| o.most_waiting = most_waiting);
     let (mut planner, _, first) = large(120, 60, &told);
     let mut bound = first.binds.len();
     let mut mark = first.mark;
@@ -566,10 +513,7 @@
 #[test]
 fn a_line_that_waited_its_turn_counts_over_the_stretch_it_covers() {
     // Each server's line comes every four seconds only, since no more lines are told.
-    let told = Opening {
-        reports_per_ms: 0.002,
-        ..opening()
-    };
+    let told = but(|o| o.reports_per_ms = 0.002);
     let mut fleet = Fleet::of(8, &told);
     for second in 0..24 {
         fleet.now += 1000.0;
@@ -618,10 +562,7 @@
 
 #[test]
 fn no_more_is_refused_while_a_backlog_drains() {
-    let told = Opening {
-        admission: Admission::Share,
-        ..opening()
-    };
+    let told = but(|o| o.admission = Admission::Share);
     let mut fleet = Fleet::of(8, &told);
     fleet.pass(6, |s, _| WELL.filter(|_| s < 8));
     fleet.pass(30, |s, _| Some((1.0, 0.0, 3000.0)).filter(|_| s < 8));
