Parts as large as the tables that proxies draw for themselves

Cause: parts of 24 to 36 servers still made a new connection for many visits, and one trouble reached the proxies of a whole part.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -55,7 +55,7 @@
 const RELAPSES: u32 = 3;
 
 /// Of the servers that a proxy's visits keep connections to, those in its part of the table.
-const KEPT: f64 = 0.5;
+const KEPT: f64 = 0.15;
 /// A line that falls below this share of what it was does not wait for the tick.
 const LOW: f64 = 0.7;
 /// Shares of the backlog that lines may fill: tables that can wait, and falls and returns.
@@ -270,7 +270,7 @@
             return false;
         }
         let pace = self.proxies.values().map(|p| p.pace).sum::<f64>() / proxies;
-        let kept = (pace * self.told.kept_ms).max(2.0 * self.told.standing_lines);
+        let kept = (pace * self.told.kept_ms).max(self.told.standing_lines);
         let many = if pace > 0.0 { servers / kept } else { 1.0 };
         for zone in 0..self.cut.len() {
             let near = self.ready().filter(|s| s.zone == zone).count() as f64;
