Trims follow sooner at size where the best quarter is three times as fast as the median

Change: there the wait for a line that lies wholly after the trim is left out. Small fleets are untouched: their lines do not wait.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -3,8 +3,8 @@
 //! How it is called: `Planner::begun` when a controller starts, then one method for each thing that
 //! happens (`roster_changed`, `proxy_joined`, `tries_met`, ...), which only notes it. What comes at
 //! one moment is one input: after it, `Planner::decide` goes through `RULES` from the top until none
-//! fires, and returns the `Orders` to carry out. The values that go in and come out are in
-//! `src/lib.rs`, plain memory and sums in `src/state.rs`. No call reads a clock, a file or a wire.
+//! fires, and returns the `Orders` to carry out. Their interface is in `src/lib.rs`, plain memory and
+//! sums in `src/state.rs`. No call reads a clock, a file or a wire.
 //!
 //! The order of the rules: what the list demands; what the evidence says, links before servers; the
 //! way back; levels and tries; the table and who is bound to it; last the probes, which cost work.
@@ -31,6 +31,8 @@
 /// Slow: so many times the fleet's norm, and over this share of the tightest soft limit.
 const SLOW: f64 = 2.0;
 const LAG: f64 = 0.5;
+/// The best quarter is so many times as fast as the median: there is room, trims follow sooner.
+const APART: f64 = 3.0;
 /// The fleet is strained: over this share of the limit at the rank asked, or failing so much there.
 const STRAIN: f64 = 0.4;
 const STRAIN_FAILING: f64 = 0.1;
@@ -43,9 +45,8 @@
 const TRIM_LEAST: f64 = 0.1;
 /// Servers are put out until so much of the listed weight of ready servers has no health.
 const MOST_EJECTED: f64 = 0.35;
-/// The part of what pushes a cold server over that its line may bring; what of that is left until
-/// the fleet's pace is known; what it is divided by in overload; and the most that a line grows by
-/// on the server's own good showing.
+/// The part of what pushes a cold server over that its line may bring; what of it is left until the
+/// pace is known; its divisor in overload; and how far a line grows on the server's good showing.
 const COLD_PART: f64 = 0.4;
 const UNKNOWN_ROOM: f64 = 0.25;
 const COLD_CAUTION: f64 = 3.0;
@@ -313,8 +314,8 @@
     }
 
     /// Guards against a cut between zones: no proxy of a zone is joined, and next to nothing comes
-    /// back from its servers to the others. The link is at fault, not the servers: they leave the
-    /// table together, keep their health, and come back together. Also meets a whole zone without
+    /// back from its servers to the others, or none ask them. The link is at fault: the servers leave
+    /// the table together, keep their health, and come back together. Also meets a whole zone without
     /// power. May harm when a zone without proxies has few servers and all are truly sick.
     fn see_a_cut_link(&mut self) -> bool {
         let off = |zone: &usize| {
@@ -353,16 +354,15 @@
         self.judge(Planner::failing, 0.0, self.norms.half, "failing")
     }
 
-    /// Guards against servers lastingly slower than the fleet, or listed too heavy: a step down at a
-    /// time. May harm when costly visits fall on one server by chance.
+    /// Guards against servers slower than the fleet, or listed too heavy: a step down at a time. May
+    /// harm when costly visits fall on one by chance.
     fn trim_the_slow(&mut self) -> bool {
         let slow: Verdict = |p, s| s.health > TRIM_LEAST && p.slow(s, SLOW);
         self.judge(slow, TRIM, self.norms.quarter, "slow")
     }
 
-    /// Back from out, through the ramp, only when a probe is answered: an answer alone proves little,
-    /// since probes may be shallow. A trimmed line grows by a step when it is not slow. Either after a
-    /// time that doubles with each relapse, so that flapping regains nothing.
+    /// Back from out through the ramp, when a probe is answered (it alone proves little); a trimmed line
+    /// by a step. Either after a time that doubles with each relapse: flapping regains nothing.
     fn let_health_return(&mut self) -> bool {
         let (now, ask) = (self.now, self.told.may_probe);
         let hurry = self.strained(self.norms.half, STRAIN);
@@ -586,11 +586,13 @@
     }
 
     /// Takes health from the first server that the verdict is on; all of it only within what may be
-    /// ejected: evidence against most of the fleet is not a fault of each server, but a trim, short of
-    /// strain, only shares the work out. In a strained fleet only where no good answer comes, and nothing is lost.
+    /// ejected: evidence against most of the fleet is not a fault of each server, but a trim short of
+    /// strain only shares the work out. In a strained fleet only where no good answer comes at all.
     fn judge(&mut self, bad: Verdict, keep: f64, norm: (f64, f64), word: &str) -> bool {
         let strained = self.strained(norm, STRAIN);
-        let window = self.told.bucket_ms * self.norms.lately as f64 + self.norms.wait;
+        let apart = self.norms.half.1 > APART * self.norms.quarter.1;
+        let wait = if apart { 0.0 } else { self.norms.wait };
+        let window = self.told.bucket_ms * self.norms.lately as f64 + wait;
         let left = |s: &Server| s.weight * (MOST_EJECTED - 1.0 + s.health);
         let room: f64 = self.ready().map(left).sum();
         let guilty = |s: &Server| {
@@ -607,9 +609,8 @@
         };
         let health = self.servers[s].health * keep;
         (self.servers[s].health, self.servers[s].judged) = (health, self.now);
-        self.out
-            .notes
-            .push(format!("server {s} is {word}: health {health:.2}"));
+        let note = format!("server {s} is {word}: health {health:.2}");
+        self.out.notes.push(note);
         true
     }
 
