gRPC over HTTP/2 on may coroutines: server, client, streams, keepalive, windows

The controller is to speak the public protocols from its first landing, and may is its runtime. crates/fibers is the one place that spawns; it turns a socket into something that futures poll (a reader and a writer coroutine around bounded buffers). crates/grpc runs h2 on that: a coroutine a connection and one a call, flow control up to the sender, deadlines, cancellation, GOAWAY, pings.

--- /dev/null
+++ b/crates/grpc/src/server.rs
@@ -0,0 +1,339 @@
+//! The server's side: a coroutine for each connection, and one for each call.
+
+use crate::Limits;
+use crate::codec::{Inbound, Outbound};
+use crate::status::{Code, Status};
+use bytes::Bytes;
+use dahliapoint_fibers::{TcpStream, block_on, block_on_until, dial, listen, spawn, wire};
+use h2::server::{Connection, SendResponse};
+use h2::{PingPong, RecvStream};
+use http::{HeaderMap, HeaderValue, Method, Request, Response};
+use std::future::poll_fn;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{Poll, Waker};
+use std::time::{Duration, Instant};
+use tracing::{debug, warn};
+
+/// A call that came in.
+pub struct Call {
+    /// `/package.Service/Method`.
+    pub path: String,
+    pub headers: HeaderMap,
+    pub peer: SocketAddr,
+    pub inbound: Inbound,
+    pub outbound: Outbound,
+    /// From the header `grpc-timeout`.
+    pub deadline: Option<Instant>,
+}
+
+/// Takes calls; runs in the call's own coroutine and may park there.
+pub trait Handler: Send + Sync + 'static {
+    fn call(&self, call: Call);
+}
+
+/// What tells all connections that the server ends.
+#[derive(Default)]
+struct Ending {
+    set: AtomicBool,
+    waiting: Mutex<Vec<Waker>>,
+}
+
+impl Ending {
+    fn wait(&self, waker: &Waker) {
+        let mut waiting = self.waiting.lock().unwrap_or_else(|e| e.into_inner());
+        waiting.retain(|w| !w.will_wake(waker));
+        waiting.push(waker.clone());
+    }
+
+    fn forget(&self, waker: &Waker) {
+        let mut waiting = self.waiting.lock().unwrap_or_else(|e| e.into_inner());
+        waiting.retain(|w| !w.will_wake(waker));
+    }
+
+    fn fire(&self) {
+        self.set.store(true, Ordering::SeqCst);
+        let waiting = {
+            let mut held = self.waiting.lock().unwrap_or_else(|e| e.into_inner());
+            std::mem::take(&mut *held)
+        };
+        waiting.into_iter().for_each(Waker::wake);
+    }
+}
+
+/// A listening server. Dropping it lets connections go on; [`Server::end`] ends them orderly.
+pub struct Server {
+    address: SocketAddr,
+    ending: Arc<Ending>,
+    links: Arc<AtomicUsize>,
+}
+
+impl Server {
+    /// Listens on an address (port 0: one that the system picks) and serves in the background.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub fn start(at: SocketAddr, limits: Limits, handler: Arc<dyn Handler>) -> io::Result<Server> {
+        let listener = listen(at)?;
+        let address = listener.local_addr()?;
+        let server = Server {
+            address,
+            ending: Arc::default(),
+            links: Arc::default(),
+        };
+        let (ending, links) = (server.ending.clone(), server.links.clone());
+        spawn(move || {
+            for socket in listener.incoming() {
+                if ending.set.load(Ordering::SeqCst) {
+                    return;
+                }
+                let socket = match socket {
+                    Ok(socket) => socket,
+                    Err(e) => {
+                        // Out of descriptors, say: those that are open go on, new ones wait.
+                        warn!(error = %e, "a connection could not be taken");
+                        dahliapoint_fibers::sleep(Duration::from_millis(50));
+                        continue;
+                    }
+                };
+                if links.load(Ordering::SeqCst) >= limits.links {
+                    warn!(most = limits.links, "a connection too many is refused");
+                    continue;
+                }
+                links.fetch_add(1, Ordering::SeqCst);
+                let (handler, ending, links) = (handler.clone(), ending.clone(), links.clone());
+                spawn(move || {
+                    let peer = socket.peer_addr();
+                    if let Ok(peer) = peer
+                        && let Err(e) = serve(socket, peer, limits, &handler, &ending)
+                    {
+                        debug!(%peer, error = %e, "a connection ended");
+                    }
+                    links.fetch_sub(1, Ordering::SeqCst);
+                });
+            }
+        });
+        Ok(server)
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Connections open now.
+    pub fn links(&self) -> usize {
+        self.links.load(Ordering::SeqCst)
+    }
+
+    /// Tells every peer to go away and takes nothing new; waits until all calls have ended, or until
+    /// that time. Tells whether all had.
+    pub fn end(&self, until: Instant) -> bool {
+        self.ending.fire();
+        // Wakes the accepting coroutine, which then sees the end.
+        let _ = dial(self.address, Duration::from_secs(1));
+        while self.links() > 0 && Instant::now() < until {
+            dahliapoint_fibers::sleep(Duration::from_millis(10));
+        }
+        self.links() == 0
+    }
+}
+
+type Taken = Option<Result<(Request<RecvStream>, SendResponse<Bytes>), h2::Error>>;
+
+fn serve(
+    socket: TcpStream,
+    peer: SocketAddr,
+    limits: Limits,
+    handler: &Arc<dyn Handler>,
+    ending: &Arc<Ending>,
+) -> Result<(), String> {
+    let io = wire(socket, limits.patience).map_err(|e| e.to_string())?;
+    let mut builder = h2::server::Builder::new();
+    builder
+        .max_concurrent_streams(limits.calls)
+        .max_header_list_size(limits.headers)
+        .initial_window_size(limits.call_window)
+        .initial_connection_window_size(limits.link_window)
+        .max_concurrent_reset_streams(limits.calls as usize);
+    let until = Some(Instant::now() + limits.patience);
+    let mut link: Connection<_, Bytes> = block_on_until(builder.handshake(io), until)
+        .map_err(|_| "no preface in time".to_string())?
+        .map_err(|e| e.to_string())?;
+    let dead = Arc::new(AtomicBool::new(false));
+    let poke = Arc::new(Mutex::new(None::<Waker>));
+    if let Some(pings) = link.ping_pong() {
+        let (dead, poke) = (dead.clone(), poke.clone());
+        spawn(move || keep_alive(pings, limits, &dead, &poke));
+    }
+    let mut going = false;
+    let mut used = None;
+    loop {
+        let taken: Taken = block_on(poll_fn(|context| {
+            used = Some(context.waker().clone());
+            *poke.lock().unwrap_or_else(|e| e.into_inner()) = Some(context.waker().clone());
+            if dead.load(Ordering::SeqCst) {
+                return Poll::Ready(None);
+            }
+            ending.wait(context.waker());
+            if ending.set.load(Ordering::SeqCst) && !going {
+                going = true;
+                link.graceful_shutdown();
+            }
+            link.poll_accept(context)
+        }));
+        if let Some(waker) = used.take() {
+            ending.forget(&waker);
+        }
+        match taken {
+            Some(Ok((request, respond))) => {
+                let handler = handler.clone();
+                spawn(move || take(request, respond, peer, limits, &handler));
+            }
+            Some(Err(e)) => return Err(e.to_string()),
+            None if dead.load(Ordering::SeqCst) => return Err("no answer to a ping".into()),
+            None => return Ok(()),
+        }
+    }
+}
+
+/// Pings while the connection stands; marks it dead when no answer comes, and wakes its coroutine.
+pub(crate) fn keep_alive(
+    mut pings: PingPong,
+    limits: Limits,
+    dead: &AtomicBool,
+    poke: &Mutex<Option<Waker>>,
+) {
+    loop {
+        dahliapoint_fibers::sleep(limits.keepalive);
+        let answer = {
+            let ping = pin!(pings.ping(h2::Ping::opaque()));
+            block_on_until(ping, Some(Instant::now() + limits.patience))
+        };
+        match answer {
+            Ok(Ok(_)) => {}
+            // The connection has ended by itself.
+            Ok(Err(_)) => return,
+            Err(_) => {
+                dead.store(true, Ordering::SeqCst);
+                let waker = poke.lock().unwrap_or_else(|e| e.into_inner()).take();
+                waker.into_iter().for_each(Waker::wake);
+                return;
+            }
+        }
+    }
+}
+
+fn take(
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    peer: SocketAddr,
+    limits: Limits,
+    handler: &Arc<dyn Handler>,
+) {
+    let (head, body) = request.into_parts();
+    let kind = head.headers.get("content-type");
+    let kind = kind.and_then(|v| v.to_str().ok()).unwrap_or_default();
+    let grpc = kind == "application/grpc" || kind.starts_with("application/grpc+proto");
+    if head.method != Method::POST || !grpc {
+        // "Requests": without the content type the answer is 415, so that no browser is fooled.
+        let mut answer = Response::new(());
+        *answer.status_mut() = http::StatusCode::UNSUPPORTED_MEDIA_TYPE;
+        let _ = respond.send_response(answer, true);
+        return;
+    }
+    let path = head.uri.path().to_string();
+    let limit = match time_limit(&head.headers) {
+        Ok(limit) => limit,
+        Err(status) => return refuse(respond, &status),
+    };
+    let deadline = limit.map(|time| Instant::now() + time);
+    let mut answer = Response::new(());
+    answer
+        .headers_mut()
+        .insert("content-type", HeaderValue::from_static("application/grpc"));
+    answer
+        .headers_mut()
+        .insert("grpc-accept-encoding", HeaderValue::from_static("identity"));
+    let Ok(stream) = respond.send_response(answer, false) else {
+        return;
+    };
+    let mut inbound = Inbound::of(body, limits.message, false);
+    inbound.until = deadline;
+    let outbound = Outbound {
+        stream,
+        until: deadline,
+        client: false,
+        done: false,
+    };
+    handler.call(Call {
+        path,
+        headers: head.headers,
+        peer,
+        inbound,
+        outbound,
+        deadline,
+    });
+}
+
+/// A response that is only a status.
+fn refuse(mut respond: SendResponse<Bytes>, status: &Status) {
+    let mut answer = Response::new(());
+    let headers = answer.headers_mut();
+    headers.insert("content-type", HeaderValue::from_static("application/grpc"));
+    status.write(headers);
+    let _ = respond.send_response(answer, true);
+}
+
+/// Reads `grpc-timeout`: at most eight digits and a unit.
+fn time_limit(headers: &HeaderMap) -> Result<Option<Duration>, Status> {
+    let Some(value) = headers.get("grpc-timeout") else {
+        return Ok(None);
+    };
+    let wrong = || Status::new(Code::InvalidArgument, "grpc-timeout: digits and a unit");
+    let text = value.to_str().map_err(|_| wrong())?;
+    let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
+    let unit = &text[digits.len()..];
+    if digits.is_empty() || digits.len() > 8 || unit.len() != 1 {
+        return Err(wrong());
+    }
+    let n: u64 = digits.parse().map_err(|_| wrong())?;
+    Ok(Some(match unit {
+        "H" => Duration::from_secs(n * 3600),
+        "M" => Duration::from_secs(n * 60),
+        "S" => Duration::from_secs(n),
+        "m" => Duration::from_millis(n),
+        "u" => Duration::from_micros(n),
+        "n" => Duration::from_nanos(n),
+        _ => return Err(wrong()),
+    }))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn time_limits_are_read_as_written_or_refused() {
+        let cases = [
+            ("1H", Some(Duration::from_secs(3600))),
+            ("90S", Some(Duration::from_secs(90))),
+            ("250m", Some(Duration::from_millis(250))),
+            ("99999999n", Some(Duration::from_nanos(99_999_999))),
+            ("123456789m", None),
+            ("m", None),
+            ("5", None),
+            ("5x", None),
+            ("-5S", None),
+            ("5mS", None),
+        ];
+        for (text, wanted) in cases {
+            let mut headers = HeaderMap::new();
+            headers.insert("grpc-timeout", HeaderValue::from_static(text));
+            assert_eq!(time_limit(&headers).ok().flatten(), wanted, "{text}");
+        }
+        assert_eq!(time_limit(&HeaderMap::new()), Ok(None));
+    }
+}
--- /dev/null
+++ b/crates/grpc/src/status.rs
@@ -0,0 +1,151 @@
+//! Status codes of gRPC, and how they travel in headers.
+
+use http::{HeaderMap, HeaderValue};
+use std::fmt;
+
+/// The codes of the gRPC specification, "Status codes and their use in gRPC".
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Code {
+    Ok = 0,
+    Cancelled = 1,
+    Unknown = 2,
+    InvalidArgument = 3,
+    DeadlineExceeded = 4,
+    NotFound = 5,
+    AlreadyExists = 6,
+    PermissionDenied = 7,
+    ResourceExhausted = 8,
+    FailedPrecondition = 9,
+    Aborted = 10,
+    OutOfRange = 11,
+    Unimplemented = 12,
+    Internal = 13,
+    Unavailable = 14,
+    DataLoss = 15,
+    Unauthenticated = 16,
+}
+
+const CODES: [Code; 17] = [
+    Code::Ok,
+    Code::Cancelled,
+    Code::Unknown,
+    Code::InvalidArgument,
+    Code::DeadlineExceeded,
+    Code::NotFound,
+    Code::AlreadyExists,
+    Code::PermissionDenied,
+    Code::ResourceExhausted,
+    Code::FailedPrecondition,
+    Code::Aborted,
+    Code::OutOfRange,
+    Code::Unimplemented,
+    Code::Internal,
+    Code::Unavailable,
+    Code::DataLoss,
+    Code::Unauthenticated,
+];
+
+/// How a call ended, if not well.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Status {
+    pub code: Code,
+    pub message: String,
+}
+
+impl Status {
+    pub fn new(code: Code, message: impl Into<String>) -> Status {
+        let message = message.into();
+        Status { code, message }
+    }
+
+    pub(crate) fn lost(e: &h2::Error) -> Status {
+        let code = match e.reason() {
+            Some(h2::Reason::CANCEL) => Code::Cancelled,
+            Some(h2::Reason::REFUSED_STREAM) | None => Code::Unavailable,
+            Some(h2::Reason::ENHANCE_YOUR_CALM) => Code::ResourceExhausted,
+            Some(_) => Code::Internal,
+        };
+        Status::new(code, e.to_string())
+    }
+
+    /// The status headers of trailers, or of a response that is only these.
+    pub(crate) fn write(&self, headers: &mut HeaderMap) {
+        headers.insert("grpc-status", HeaderValue::from(self.code as i32));
+        if !self.message.is_empty()
+            && let Ok(text) = HeaderValue::from_str(&escaped(&self.message))
+        {
+            headers.insert("grpc-message", text);
+        }
+    }
+
+    /// Reads a status from trailers; none without the header.
+    pub(crate) fn read(headers: &HeaderMap) -> Option<Status> {
+        let number = headers.get("grpc-status")?.to_str().ok()?.parse::<usize>();
+        let code = number.ok().and_then(|n| CODES.get(n).copied());
+        let text = headers.get("grpc-message").and_then(|v| v.to_str().ok());
+        let message = unescaped(text.unwrap_or_default());
+        Some(Status::new(code.unwrap_or(Code::Unknown), message))
+    }
+}
+
+impl fmt::Display for Status {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}: {}", self.code, self.message)
+    }
+}
+
+impl std::error::Error for Status {}
+
+/// Percent-encoding of "Responses" in the specification: all but printable ASCII, and the sign itself.
+fn escaped(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        match byte {
+            b'%' => out.push_str("%25"),
+            0x20..=0x7e => out.push(byte as char),
+            _ => out.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    out
+}
+
+fn unescaped(text: &str) -> String {
+    let bytes = text.as_bytes();
+    let mut out = Vec::with_capacity(bytes.len());
+    let mut at = 0;
+    while at < bytes.len() {
+        let pair = text.get(at + 1..at + 3).filter(|_| bytes[at] == b'%');
+        match pair.and_then(|p| u8::from_str_radix(p, 16).ok()) {
+            Some(byte) => {
+                out.push(byte);
+                at += 3;
+            }
+            None => {
+                out.push(bytes[at]);
+                at += 1;
+            }
+        }
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_status_survives_its_headers() {
+        for text in ["", "plain", "50% of größe\n", "%zz", "ends in %"] {
+            for code in CODES {
+                let mut headers = HeaderMap::new();
+                let status = Status::new(code, text);
+                status.write(&mut headers);
+                assert_eq!(Status::read(&headers), Some(status));
+            }
+        }
+        let mut odd = HeaderMap::new();
+        assert_eq!(Status::read(&odd), None);
+        odd.insert("grpc-status", HeaderValue::from(99));
+        assert_eq!(Status::read(&odd).unwrap().code, Code::Unknown);
+    }
+}
