The controller without I/O: names, sessions, what each proxy holds, accounts, a record

Indices are used again only when no line, message, probe or report refers to them. Every moment can be written down (length, CRC, postcard) and played to the same bytes.

--- /dev/null
+++ b/crates/control/src/controller.rs
@@ -0,0 +1,724 @@
+//! One controller: its planner, its servers and proxies by name, and what each proxy was sent.
+
+use crate::accounts::{Accounts, Outstanding, Sent};
+use crate::membership::{self, Deed, Member, Patience};
+use crate::reports::{Period, fault_of};
+use crate::servers::Servers;
+use crate::{AdminState, Entry, FurtherTry, Input, Line, LineState, Message, Output, Report};
+use crate::{Scope, Session, Terms, Way};
+use dahliapoint::rules::Planner;
+use dahliapoint::{Admission, Class, Extent, Listed, Opening, Orders, Standing, Tries};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+/// A gone server is forgotten after so many times the warming time, if nothing refers to it.
+const FORGET: f64 = 10.0;
+
+/// A joined proxy.
+struct Proxy {
+    name: Arc<str>,
+    zone: usize,
+    session: Session,
+    part: Option<usize>,
+    /// Joined in this very input: an unbound one is told all that is withdrawn.
+    fresh: bool,
+    outstanding: Outstanding,
+    member: Member,
+    refusal: Option<String>,
+}
+
+/// See the crate's head for how it is called.
+pub struct Controller {
+    terms: Terms,
+    patience: Patience,
+    planner: Planner,
+    servers: Servers,
+    /// Servers whose address changed under a line that stands.
+    moved: Vec<usize>,
+    proxies: BTreeMap<usize, Proxy>,
+    by_session: HashMap<Session, usize>,
+    by_name: HashMap<Arc<str>, usize>,
+    free: BTreeSet<usize>,
+    zones: HashMap<String, usize>,
+    classes: HashMap<String, usize>,
+    ways: Vec<Way>,
+    period: Period,
+    period_ends: f64,
+    planner_alarm: f64,
+    listed: bool,
+    serial: u64,
+    accounts: Accounts,
+}
+
+/// A server as an operator wants to see it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerView {
+    pub name: Arc<str>,
+    pub address: Arc<str>,
+    pub zone: String,
+    pub state: AdminState,
+    pub listed_weight: f64,
+    pub part: Option<usize>,
+    pub weight: f64,
+    pub shut: bool,
+}
+
+/// A proxy as an operator wants to see it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProxyView {
+    pub name: Arc<str>,
+    pub zone: String,
+    pub session: Session,
+    pub part: Option<usize>,
+    pub unanswered: usize,
+    pub unanswered_lines: f64,
+    pub refusal: Option<String>,
+}
+
+/// All of it at one moment.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Overview {
+    pub servers: Vec<ServerView>,
+    pub proxies: Vec<ProxyView>,
+    pub ways: Vec<(String, Way)>,
+    pub accounts: Accounts,
+}
+
+fn opening(terms: &Terms) -> Opening {
+    let limit = (terms.most_messages - terms.writes_by_joining) / terms.writes_by_message;
+    Opening {
+        zones: terms.zones.len(),
+        classes: terms
+            .classes
+            .iter()
+            .map(|c| Class {
+                soft_limit_ms: c.soft_limit_ms,
+                earnings: c.earnings,
+            })
+            .collect(),
+        admission: match terms.shares {
+            true => Admission::Share,
+            false => Admission::Unused,
+        },
+        most_waiting: terms.most_waiting,
+        lines_per_ms: terms.lines_per_s / 1000.0,
+        way_ms: terms.way_ms,
+        message_lines: terms.message_lines,
+        idle_ms: terms.idle_ms,
+        standing_lines: terms.standing_lines,
+        most_messages: if terms.most_messages > 0.0 {
+            limit
+        } else {
+            0.0
+        },
+        message_span_ms: terms.message_span_ms,
+        report_every_ms: terms.report_every_ms,
+        reports_per_ms: terms.reports_per_s / 1000.0,
+        cold_share: terms.cold_share,
+        warm_after_ms: terms.warm_after_ms,
+        fall_multiple: terms.fall_multiple,
+        dropped_may_stay: terms.dropped_may_stay,
+        usual_tries: match terms.usual_tries {
+            FurtherTry::Never => Tries::Never,
+            FurtherTry::OnProof => Tries::OnProof,
+            FurtherTry::OnFailure => Tries::OnFailure,
+        },
+        may_probe: terms.may_probe,
+        must_ask: false,
+        sliced: false,
+    }
+}
+
+impl Controller {
+    /// A controller that has been told nothing yet. Times are milliseconds on a clock that never goes
+    /// back; `seed` is where all chance comes from.
+    pub fn begun(now: f64, seed: u64, terms: Terms) -> Controller {
+        let zones = terms.zones.iter().cloned().zip(0..).collect();
+        let classes = terms.classes.iter().map(|c| c.name.clone()).zip(0..);
+        let usual = Way {
+            share: 1.0,
+            tries: terms.usual_tries,
+        };
+        Controller {
+            planner: Planner::begun(now, seed, &opening(&terms)),
+            patience: Patience::of(&terms),
+            servers: Servers::default(),
+            moved: Vec::new(),
+            proxies: BTreeMap::new(),
+            by_session: HashMap::new(),
+            by_name: HashMap::new(),
+            free: BTreeSet::new(),
+            zones,
+            classes: classes.collect(),
+            ways: vec![usual; terms.classes.len()],
+            period: Period::default(),
+            period_ends: now + terms.report_every_ms,
+            planner_alarm: now,
+            listed: false,
+            serial: 0,
+            accounts: Accounts::default(),
+            terms,
+        }
+    }
+
+    pub fn terms(&self) -> &Terms {
+        &self.terms
+    }
+
+    /// When it is to be called again at the latest, if nothing comes in before.
+    pub fn wake_at(&self) -> f64 {
+        let members = self.proxies.values();
+        let owed = members.filter_map(|p| p.member.alarm(&self.patience));
+        let period = match self.period.is_empty() {
+            true => f64::INFINITY,
+            false => self.period_ends,
+        };
+        owed.fold(self.planner_alarm.min(period), f64::min)
+    }
+
+    /// All that came at one moment, and what is to be done about it.
+    pub fn take(&mut self, now: f64, inputs: Vec<Input>) -> Vec<Output> {
+        let mut out = Vec::new();
+        for input in inputs {
+            self.note(now, input, &mut out);
+        }
+        if now >= self.period_ends {
+            self.end_period(now);
+        }
+        if self.planner_alarm <= now {
+            self.planner_alarm = f64::INFINITY;
+        }
+        let orders = self.planner.decide(now);
+        self.carry_out(now, orders, &mut out);
+        self.tend_members(now, &mut out);
+        let unanswered = self
+            .proxies
+            .values()
+            .filter_map(|p| p.outstanding.oldest_serial());
+        let oldest = unanswered.min().unwrap_or(u64::MAX);
+        let after = self.terms.warm_after_ms * FORGET;
+        self.servers.forget(now, after, oldest);
+        self.accounts.waiting = self.proxies.values().map(|p| p.outstanding.lines()).sum();
+        self.accounts.most_waiting = self.accounts.most_waiting.max(self.accounts.waiting);
+        out
+    }
+
+    fn note(&mut self, now: f64, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Roster(entries) => self.roster(now, &entries, true, out),
+            Input::RosterChanges(entries) => self.roster(now, &entries, false, out),
+            Input::Joined {
+                session,
+                proxy,
+                zone,
+                pace,
+            } => self.joined(session, &proxy, &zone, pace, out),
+            Input::Left(session) => {
+                if let Some(p) = self.by_session.remove(&session) {
+                    self.left(p);
+                }
+            }
+            Input::Applied(session, serial) => self.applied(now, session, serial),
+            Input::Refused(session, serial, why) => self.refused(now, session, serial, why, out),
+            Input::Reported(session, report) => self.reported(session, &report),
+            Input::Probed {
+                server,
+                fine,
+                took_ms,
+            } => {
+                if let Some(s) = self.servers.find(&server) {
+                    self.servers.slots[s].asked = false;
+                    self.planner.probe_answered(now, s, fine, took_ms);
+                }
+            }
+        }
+    }
+
+    fn roster(&mut self, now: f64, entries: &[Entry], whole: bool, out: &mut Vec<Output>) {
+        let mut listed = Vec::with_capacity(entries.len());
+        let mut placed = Vec::with_capacity(entries.len());
+        for entry in entries {
+            let Some(zone) = self.zones.get(&entry.zone).copied() else {
+                let note = format!("roster: {}: no zone {:?}", entry.name, entry.zone);
+                out.push(Output::Note(note));
+                continue;
+            };
+            let (server, moves) = self.servers.place(entry, zone, now);
+            placed.push(server);
+            if moves {
+                // The line is told anew with the next message, with the same weight.
+                self.moved.push(server);
+            }
+            listed.push(Listed {
+                server,
+                zone,
+                standing: match entry.state {
+                    AdminState::Ready => Standing::Ready,
+                    AdminState::Draining => Standing::Draining,
+                    AdminState::Gone => Standing::Gone,
+                },
+                weight: entry.weight,
+                started_ms: self.servers.slots[server].started.map(|(_, at)| at),
+            });
+        }
+        if whole {
+            self.servers.gone_but(&placed, now);
+        }
+        let extent = match (whole, self.listed) {
+            (true, false) => Extent::Remembered,
+            (true, true) => Extent::Whole,
+            (false, _) => Extent::Changes,
+        };
+        self.listed |= whole;
+        self.planner.roster_changed(now, extent, &listed);
+    }
+
+    fn joined(
+        &mut self,
+        session: Session,
+        proxy: &str,
+        zone: &str,
+        pace: Option<f64>,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(zone) = self.zones.get(zone).copied() else {
+            let why = format!("no zone {zone:?}; the service has {:?}", self.terms.zones);
+            self.close(session, why, out);
+            return;
+        };
+        if let Some(older) = self.by_name.get(proxy).copied() {
+            let older_session = self.proxies[&older].session;
+            self.by_session.remove(&older_session);
+            self.left(older);
+            let why = "another stream of the same node holds now".to_string();
+            self.close(older_session, why, out);
+        }
+        let next = self.proxies.len() + self.free.len();
+        let index = self.free.pop_first().unwrap_or(next);
+        let name: Arc<str> = proxy.into();
+        self.by_session.insert(session, index);
+        self.by_name.insert(name.clone(), index);
+        let known = pace.filter(|p| p.is_finite() && *p >= 0.0);
+        let pace = known.unwrap_or(self.terms.usual_pace) / 1000.0;
+        self.planner.proxy_joined(index, zone, pace);
+        self.proxies.insert(
+            index,
+            Proxy {
+                name,
+                zone,
+                session,
+                part: None,
+                fresh: true,
+                outstanding: Outstanding::default(),
+                member: Member::default(),
+                refusal: None,
+            },
+        );
+    }
+
+    fn close(&mut self, session: Session, why: String, out: &mut Vec<Output>) {
+        self.accounts.closed += 1;
+        out.push(Output::Close(session, why));
+    }
+
+    fn left(&mut self, index: usize) {
+        if let Some(proxy) = self.proxies.remove(&index) {
+            self.by_name.remove(&proxy.name);
+            self.planner.proxy_left(index);
+            self.period.forget_proxy(index);
+            self.free.insert(index);
+        }
+    }
+
+    /// Takes an answer: what it answers for, with the planner told; nothing if it is odd.
+    fn answered(&mut self, now: f64, session: Session, serial: u64) -> Option<(usize, Vec<Sent>)> {
+        let index = self.by_session.get(&session).copied();
+        let Some((index, proxy)) = index.and_then(|i| Some((i, self.proxies.get_mut(&i)?))) else {
+            self.accounts.odd_answers += 1;
+            return None;
+        };
+        let sent = proxy.outstanding.answered(serial);
+        if sent.is_empty() {
+            self.accounts.odd_answers += 1;
+            return None;
+        }
+        // The rest is as old as the oldest left; but its answers queue behind this one.
+        let oldest = proxy.outstanding.oldest();
+        proxy.member.unanswered_since = oldest.map(|_| now);
+        for mark in sent.iter().filter_map(|m| m.mark) {
+            self.planner.orders_applied(index, mark);
+        }
+        Some((index, sent))
+    }
+
+    fn applied(&mut self, now: f64, session: Session, serial: u64) {
+        if let Some((index, sent)) = self.answered(now, session, serial)
+            && let Some(proxy) = self.proxies.get_mut(&index)
+        {
+            proxy.member.applied(sent.iter().any(|m| m.whole));
+            proxy.refusal = None;
+        }
+    }
+
+    fn refused(
+        &mut self,
+        now: f64,
+        session: Session,
+        serial: u64,
+        why: String,
+        out: &mut Vec<Output>,
+    ) {
+        self.accounts.refused += 1;
+        if let Some((index, sent)) = self.answered(now, session, serial)
+            && let Some(proxy) = self.proxies.get_mut(&index)
+        {
+            let note = format!("proxy {}: refused its table: {why}", proxy.name);
+            proxy.member.refused(now, sent.iter().any(|m| m.withdraws));
+            proxy.refusal = Some(why);
+            out.push(Output::Note(note));
+        }
+    }
+
+    fn reported(&mut self, session: Session, report: &Report) {
+        let Some(index) = self.by_session.get(&session).copied() else {
+            self.accounts.unknown_lines += report.met.len() as u64;
+            return;
+        };
+        if fault_of(report).is_some() {
+            self.accounts.refused_reports += 1;
+            return;
+        }
+        let zone = self.proxies[&index].zone;
+        let window = report.window_ms;
+        for m in &report.met {
+            match self.servers.find(&m.server) {
+                Some(s) => {
+                    self.accounts.report_lines += 1;
+                    let tries = (m.tries, m.failed);
+                    self.period.met(s, zone, tries, m.good_ms, window);
+                }
+                None => self.accounts.unknown_lines += 1,
+            }
+        }
+        for (class, visits) in &report.came {
+            match self.classes.get(class) {
+                Some(class) => self.period.came(index, *class, *visits, window),
+                None => self.accounts.unknown_lines += 1,
+            }
+        }
+    }
+
+    fn end_period(&mut self, now: f64) {
+        let (met, came) = self.period.end();
+        met.iter().for_each(|m| self.planner.tries_met(now, m));
+        for c in came {
+            self.planner
+                .visits_came(c.proxy, c.class, c.visits, c.window_ms);
+        }
+        let every = self.terms.report_every_ms;
+        self.period_ends = now + every;
+    }
+
+    fn carry_out(&mut self, now: f64, orders: Orders, out: &mut Vec<Output>) {
+        let mut touched = Touched::default();
+        for s in std::mem::take(&mut self.moved) {
+            touched.server(self.servers.slots[s].part, s);
+        }
+        for (part, s, weight) in orders.lines {
+            let slot = &mut self.servers.slots[s];
+            (slot.part, slot.weight) = (Some(part), weight);
+            touched.server(Some(part), s);
+        }
+        for (part, class, share, tries) in orders.levels {
+            let tries = match tries {
+                Tries::Never => FurtherTry::Never,
+                Tries::OnProof => FurtherTry::OnProof,
+                Tries::OnFailure => FurtherTry::OnFailure,
+            };
+            self.ways[class] = Way { share, tries };
+            touched.ways.entry(part).or_default().push(class);
+        }
+        for (s, shut) in orders.withdrawals {
+            self.servers.slots[s].shut = shut;
+            touched.server(self.servers.slots[s].part, s);
+            touched.standing.push(s);
+        }
+        let mut bound = Vec::new();
+        for (proxy, part) in orders.binds {
+            if let Some(p) = self.proxies.get_mut(&proxy) {
+                p.part = Some(part);
+                bound.push(proxy);
+            }
+        }
+        touched.bound = bound;
+        self.write_touched(now, touched, orders.mark, out);
+        for s in orders.probes {
+            let slot = &mut self.servers.slots[s];
+            slot.asked = true;
+            out.push(Output::Probe {
+                server: slot.name.to_string(),
+                address: slot.address.to_string(),
+            });
+        }
+        if let Some(at) = orders.wake_at {
+            self.planner_alarm = self.planner_alarm.min(at);
+        }
+        let named = orders.notes.into_iter().map(|n| self.named(&n));
+        out.extend(named.map(Output::Note));
+    }
+
+    /// Puts names for the indices in the planner's notes: `server 3 ...`, `zone 1 ...`.
+    fn named(&self, note: &str) -> String {
+        let mut words = note.splitn(3, ' ');
+        let (kind, index, rest) = (words.next(), words.next(), words.next());
+        let index = index.and_then(|i| i.parse::<usize>().ok());
+        let name = match (kind, index) {
+            (Some("server"), Some(i)) => self.servers.slots.get(i).map(|s| s.name.to_string()),
+            (Some("zone"), Some(i)) => self.terms.zones.get(i).cloned(),
+            _ => None,
+        };
+        match (kind, name, rest) {
+            (Some(kind), Some(name), Some(rest)) => format!("{kind} {name} {rest}"),
+            _ => note.to_string(),
+        }
+    }
+
+    /// One message for each proxy concerned; proxies of a part share theirs.
+    fn write_touched(
+        &mut self,
+        now: f64,
+        touched: Touched,
+        mark: Option<u32>,
+        out: &mut Vec<Output>,
+    ) {
+        let mut by_part: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+        let (mut standing, mut fresh) = (Vec::new(), Vec::new());
+        for (i, p) in &mut self.proxies {
+            let new = std::mem::take(&mut p.fresh);
+            match p.part {
+                Some(_) if touched.bound.contains(i) => {}
+                Some(part) => by_part.entry(part).or_default().push(*i),
+                None if new => fresh.push(*i),
+                None => standing.push(*i),
+            }
+        }
+        let serial = self.serial + 1;
+        let mut writes: Vec<(Vec<usize>, Message)> = Vec::new();
+        for (part, proxies) in by_part {
+            let lines: Vec<Line> = touched.lines(part, &self.servers);
+            let ways = touched.ways.get(&part).into_iter().flatten();
+            let ways: Vec<_> = ways.map(|c| (*c, self.ways[*c])).collect();
+            let scope = Scope::Part(part);
+            let message = Message {
+                serial,
+                scope,
+                lines,
+                ways,
+            };
+            writes.push((proxies, message));
+        }
+        let mut wholes: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+        for proxy in &touched.bound {
+            if let Some(part) = self.proxies[proxy].part {
+                wholes.entry(part).or_default().push(*proxy);
+            }
+        }
+        for (part, proxies) in wholes {
+            writes.push((proxies, self.whole(serial, part)));
+        }
+        let shut = |servers: &[usize]| {
+            let lines = servers.iter().map(|s| {
+                let slot = &self.servers.slots[*s];
+                slot.line_as(match slot.shut {
+                    true => LineState::Shut,
+                    false => LineState::Away,
+                })
+            });
+            Message {
+                serial,
+                scope: Scope::Standing,
+                lines: lines.collect(),
+                ways: Vec::new(),
+            }
+        };
+        writes.push((standing, shut(&touched.standing)));
+        writes.push((fresh, self.all_shut(serial)));
+        for (proxies, message) in writes {
+            self.write(now, &proxies, message, mark, out);
+        }
+    }
+
+    fn whole(&self, serial: u64, part: usize) -> Message {
+        let there = self.servers.known().filter(|(_, s)| s.part == Some(part));
+        let lines = there.filter(|(_, s)| s.weight > 0.0).map(|(_, s)| s.line());
+        let ways = self.ways.iter().copied().enumerate();
+        Message {
+            serial,
+            scope: Scope::Whole(part),
+            lines: lines.collect(),
+            ways: ways.collect(),
+        }
+    }
+
+    /// All that is withdrawn, for a proxy on tables of its own.
+    fn all_shut(&self, serial: u64) -> Message {
+        let shut = self.servers.known().filter(|(_, s)| s.shut);
+        Message {
+            serial,
+            scope: Scope::Standing,
+            lines: shut.map(|(_, s)| s.line_as(LineState::Shut)).collect(),
+            ways: Vec::new(),
+        }
+    }
+
+    fn write(
+        &mut self,
+        now: f64,
+        proxies: &[usize],
+        message: Message,
+        mark: Option<u32>,
+        out: &mut Vec<Output>,
+    ) {
+        let nothing = message.lines.is_empty() && message.ways.is_empty();
+        if proxies.is_empty() || nothing && !matches!(message.scope, Scope::Whole(_)) {
+            return;
+        }
+        self.serial = self.serial.max(message.serial);
+        for line in &message.lines {
+            if let Some(s) = self.servers.find(&line.server) {
+                let named_in = &mut self.servers.slots[s].named_in;
+                *named_in = (*named_in).max(message.serial);
+            }
+        }
+        let lines = (message.lines.len() + message.ways.len()) as f64;
+        let sent = Sent {
+            serial: message.serial,
+            mark,
+            lines: lines + self.terms.message_lines,
+            at: now,
+            whole: matches!(message.scope, Scope::Whole(_)),
+            withdraws: message.lines.iter().any(|l| l.state != LineState::Open),
+        };
+        let mut sessions = Vec::with_capacity(proxies.len());
+        for i in proxies {
+            let Some(proxy) = self.proxies.get_mut(i) else {
+                continue;
+            };
+            proxy.outstanding.wrote(sent, self.terms.message_span_ms);
+            proxy.member.unanswered_since.get_or_insert(now);
+            sessions.push(proxy.session);
+            self.accounts.messages += 1;
+            self.accounts.lines += sent.lines as u64;
+            let lately = proxy.outstanding.lately(now, self.terms.message_span_ms);
+            self.accounts.most_messages = self.accounts.most_messages.max(lately);
+        }
+        out.push(Output::Write(sessions, Arc::new(message)));
+    }
+
+    /// Goes through the membership rules for each proxy until none fires.
+    fn tend_members(&mut self, now: f64, out: &mut Vec<Output>) {
+        let due = |p: &Proxy| p.member != Member::default();
+        let concerned: Vec<usize> = self
+            .proxies
+            .iter()
+            .filter(|(_, p)| due(p))
+            .map(|(i, _)| *i)
+            .collect();
+        if concerned.is_empty() {
+            return;
+        }
+        let mut waiting: f64 = self.proxies.values().map(|p| p.outstanding.lines()).sum();
+        for i in concerned {
+            while let Some(proxy) = self.proxies.get_mut(&i) {
+                let Some(deed) = membership::next(&mut proxy.member, now, waiting, &self.patience)
+                else {
+                    break;
+                };
+                let (part, session) = (proxy.part, proxy.session);
+                let serial = self.serial + 1;
+                match (deed, part) {
+                    (Deed::GiveUp, _) => {
+                        let name = proxy.name.clone();
+                        self.by_session.remove(&session);
+                        self.left(i);
+                        out.push(Output::Note(format!("proxy {name}: answers nothing")));
+                        self.close(session, "no answer to what was sent".into(), out);
+                    }
+                    (Deed::WithdrawAgain, Some(part)) => {
+                        let mut message = self.whole(serial, part);
+                        message.scope = Scope::Part(part);
+                        message.ways.clear();
+                        let shut = self.servers.known();
+                        let shut = shut.filter(|(_, s)| s.part == Some(part) && s.shut);
+                        message.lines = shut.map(|(_, s)| s.line()).collect();
+                        self.write(now, &[i], message, None, out);
+                    }
+                    (Deed::OfferAgain, Some(part)) => {
+                        let message = self.whole(serial, part);
+                        waiting += message.lines.len() as f64;
+                        self.write(now, &[i], message, None, out);
+                    }
+                    (Deed::WithdrawAgain | Deed::OfferAgain, None) => {
+                        let message = self.all_shut(serial);
+                        self.write(now, &[i], message, None, out);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The present state, for people.
+    pub fn overview(&self) -> Overview {
+        let servers = self.servers.known().map(|(_, s)| ServerView {
+            name: s.name.clone(),
+            address: s.address.clone(),
+            zone: self.terms.zones[s.zone].clone(),
+            state: s.state,
+            listed_weight: s.listed_weight,
+            part: s.part,
+            weight: s.weight,
+            shut: s.shut,
+        });
+        let proxies = self.proxies.values().map(|p| ProxyView {
+            name: p.name.clone(),
+            zone: self.terms.zones[p.zone].clone(),
+            session: p.session,
+            part: p.part,
+            unanswered: p.outstanding.count(),
+            unanswered_lines: p.outstanding.lines(),
+            refusal: p.refusal.clone(),
+        });
+        let names = self.terms.classes.iter().map(|c| c.name.clone());
+        Overview {
+            servers: servers.collect(),
+            proxies: proxies.collect(),
+            ways: names.zip(self.ways.iter().copied()).collect(),
+            accounts: self.accounts,
+        }
+    }
+}
+
+/// What one set of orders changes.
+#[derive(Default)]
+struct Touched {
+    servers: BTreeMap<usize, Vec<usize>>,
+    ways: BTreeMap<usize, Vec<usize>>,
+    standing: Vec<usize>,
+    bound: Vec<usize>,
+}
+
+impl Touched {
+    fn server(&mut self, part: Option<usize>, server: usize) {
+        if let Some(part) = part {
+            let there = self.servers.entry(part).or_default();
+            if !there.contains(&server) {
+                there.push(server);
+            }
+        }
+    }
+
+    fn lines(&self, part: usize, servers: &Servers) -> Vec<Line> {
+        let there = self.servers.get(&part).into_iter().flatten();
+        there.map(|s| servers.slots[*s].line()).collect()
+    }
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,209 @@
+//! The controller without I/O. [`Controller::take`] is told a moment and all that came at it, and says
+//! what to write, probe, close and log; [`Controller::wake_at`] says when it wants to be called again.
+//!
+//! Names end here: inside are small indices, and the planner (`dahliapoint::rules`) decides. This crate
+//! keeps what the planner must not know (names, sessions, what each proxy was sent and has answered) and
+//! decides only on membership and on repeated delivery, in [`membership`]. It reads no clock and draws no
+//! chance: the same inputs give the same outputs, byte for byte, so a day can be written down
+//! ([`record`]) and played again.
+
+mod accounts;
+mod controller;
+pub mod membership;
+pub mod record;
+mod reports;
+mod servers;
+
+pub use accounts::Accounts;
+pub use controller::{Controller, Overview, ProxyView, ServerView};
+pub use reports::fault_of;
+
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// One stream of a proxy, numbered by whoever holds the streams; a number is used once.
+pub type Session = u64;
+
+/// What a controller is told about the service when it begins.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Terms {
+    pub service: String,
+    pub zones: Vec<String>,
+    pub classes: Vec<ClassTerms>,
+    /// Levels: a share of the visits of a class is let in; without it proxies let everything in.
+    pub shares: bool,
+    /// The channel: lines that may wait, lines it sends a second, mean way of a message, lines that a
+    /// message costs beyond its own; messages to one proxy within a span (0: no limit).
+    pub most_waiting: f64,
+    pub lines_per_s: f64,
+    pub way_ms: f64,
+    pub message_lines: f64,
+    pub most_messages: f64,
+    pub message_span_ms: f64,
+    /// What the fronts make of one message at most, and of a joining, in messages of the limit above.
+    pub writes_by_message: f64,
+    pub writes_by_joining: f64,
+    /// A proxy closes a connection idle for so long, draws so many servers for itself at its start, and
+    /// is taken to have so many visits a second if it does not say.
+    pub idle_ms: f64,
+    pub standing_lines: f64,
+    pub usual_pace: f64,
+    pub report_every_ms: f64,
+    pub reports_per_s: f64,
+    /// The cold rule: share at the start, time until warm, multiple that pushes over.
+    pub cold_share: f64,
+    pub warm_after_ms: f64,
+    pub fall_multiple: f64,
+    /// The drain rule's grace.
+    pub grace_ms: f64,
+    pub dropped_may_stay: bool,
+    /// How proxies try again where no order says otherwise.
+    pub usual_tries: FurtherTry,
+    pub may_probe: bool,
+}
+
+/// A class of visits.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ClassTerms {
+    pub name: String,
+    pub soft_limit_ms: f64,
+    pub earnings: f64,
+}
+
+/// What the roster says of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AdminState {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One entry of the roster.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    pub name: String,
+    pub address: String,
+    pub zone: String,
+    pub state: AdminState,
+    pub weight: f64,
+    /// How long ago it last started, by the roster's own clock, and a stamp that is the same as long as
+    /// the start is the same: a clock that jumps makes no new start.
+    pub started: Option<(f64, u64)>,
+}
+
+/// What a proxy met at a server, over all classes or for one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MetLine {
+    /// Name or address.
+    pub server: String,
+    pub tries: f64,
+    pub failed: f64,
+    /// Summed time of the tries that did not fail.
+    pub good_ms: f64,
+}
+
+/// A load report of one proxy.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The stretch of time that it covers.
+    pub window_ms: f64,
+    pub met: Vec<MetLine>,
+    /// Visits that came, by class.
+    pub came: Vec<(String, f64)>,
+}
+
+/// One thing that happened.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Input {
+    /// The whole roster. The first one is what the controller begins with.
+    Roster(Vec<Entry>),
+    /// Only entries that changed; a gone one is named as such.
+    RosterChanges(Vec<Entry>),
+    Joined {
+        session: Session,
+        proxy: String,
+        zone: String,
+        /// Visits a second that usually come to it, if it says.
+        pace: Option<f64>,
+    },
+    Left(Session),
+    /// The proxy applied the message with that serial and all before it.
+    Applied(Session, u64),
+    /// The proxy refused that message and keeps what it holds.
+    Refused(Session, u64, String),
+    Reported(Session, Report),
+    Probed {
+        server: String,
+        fine: bool,
+        took_ms: f64,
+    },
+}
+
+/// How a line stands in a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LineState {
+    Open,
+    /// Withdrawn: not to be picked, whatever its weight.
+    Shut,
+    /// Not in the table any more.
+    Away,
+}
+
+/// A line of a table.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    pub server: Arc<str>,
+    pub address: Arc<str>,
+    pub zone: usize,
+    pub weight: f64,
+    pub state: LineState,
+}
+
+/// When proxies may try another server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FurtherTry {
+    Never,
+    OnProof,
+    OnFailure,
+}
+
+/// What is let in of a class, and when its visits are tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Way {
+    pub share: f64,
+    pub tries: FurtherTry,
+}
+
+/// What the lines of a message are about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Scope {
+    /// Changes of the part that the proxy is bound to.
+    Part(usize),
+    /// All of a part: the proxy is bound to it from now on.
+    Whole(usize),
+    /// Withdrawals for a proxy that is not bound: they hold for whatever tables it has.
+    Standing,
+}
+
+/// One message; the proxy answers for its serial.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    pub serial: u64,
+    pub scope: Scope,
+    pub lines: Vec<Line>,
+    /// By class; only those that changed, all of them in a whole table.
+    pub ways: Vec<(usize, Way)>,
+}
+
+/// What is to be done, in this order.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Output {
+    /// One message for all these sessions.
+    Write(Vec<Session>, Arc<Message>),
+    /// End a stream.
+    Close(Session, String),
+    /// Call a server and say how it went.
+    Probe { server: String, address: String },
+    /// For the operators' log.
+    Note(String),
+}
--- /dev/null
+++ b/crates/control/tests/controller.rs
@@ -0,0 +1,515 @@
+//! The controller against a model of what proxies hold: tables of cases, and days drawn by chance.
+
+use dahliapoint_control::record::{Begin, End, Recorder, bytes_of, replay};
+use dahliapoint_control::{
+    AdminState, ClassTerms, Controller, Entry, FurtherTry, Input, LineState, MetLine, Output,
+    Report, Scope, Session, Terms,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::{BTreeMap, BTreeSet};
+
+fn terms() -> Terms {
+    let class = |name: &str, earnings| ClassTerms {
+        name: name.into(),
+        soft_limit_ms: 1000.0,
+        earnings,
+    };
+    Terms {
+        service: "portal".into(),
+        zones: vec!["east".into(), "west".into()],
+        classes: vec![class("view", 1.0), class("set", 2.0)],
+        shares: true,
+        most_waiting: 5_000.0,
+        lines_per_s: 10_000.0,
+        way_ms: 20.0,
+        message_lines: 3.0,
+        most_messages: 40.0,
+        message_span_ms: 10_000.0,
+        writes_by_message: 2.0,
+        writes_by_joining: 4.0,
+        idle_ms: 15_000.0,
+        standing_lines: 12.0,
+        usual_pace: 20.0,
+        report_every_ms: 500.0,
+        reports_per_s: 300.0,
+        cold_share: 0.15,
+        warm_after_ms: 16_000.0,
+        fall_multiple: 3.0,
+        grace_ms: 3_000.0,
+        dropped_may_stay: false,
+        usual_tries: FurtherTry::OnProof,
+        may_probe: true,
+    }
+}
+
+fn entry(name: &str, state: AdminState) -> Entry {
+    Entry {
+        name: name.into(),
+        address: format!("127.0.0.1:{}", 1000 + name.len()),
+        zone: if name.len().is_multiple_of(2) {
+            "west"
+        } else {
+            "east"
+        }
+        .into(),
+        state,
+        weight: 1.0,
+        started: None,
+    }
+}
+
+/// What a proxy holds, by obeying.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Held {
+    part: Option<usize>,
+    lines: BTreeMap<String, (String, LineState)>,
+    shut: BTreeSet<String>,
+    last: u64,
+    answered: u64,
+}
+
+struct Day {
+    controller: Controller,
+    now: f64,
+    held: BTreeMap<Session, Held>,
+    closed: Vec<Session>,
+    probed: Vec<String>,
+    notes: Vec<String>,
+    answering: bool,
+}
+
+impl Day {
+    fn begun(terms: Terms) -> Day {
+        Day {
+            controller: Controller::begun(1e6, 7, terms),
+            now: 1e6,
+            held: BTreeMap::new(),
+            closed: Vec::new(),
+            probed: Vec::new(),
+            notes: Vec::new(),
+            answering: true,
+        }
+    }
+
+    fn tell(&mut self, inputs: Vec<Input>) -> Vec<Output> {
+        for input in &inputs {
+            if let Input::Joined { session, .. } = input {
+                self.held.insert(*session, Held::default());
+            }
+            if let Input::Left(session) = input {
+                self.held.remove(session);
+            }
+        }
+        let out = self.controller.take(self.now, inputs);
+        for o in &out {
+            match o {
+                Output::Write(sessions, m) => {
+                    for s in sessions {
+                        let held = self.held.get_mut(s).expect("written to who is joined");
+                        assert!(m.serial > held.last, "serials rise");
+                        held.last = m.serial;
+                        if let Scope::Whole(part) = m.scope {
+                            held.lines.clear();
+                            held.part = Some(part);
+                        }
+                        if let Scope::Part(part) = m.scope {
+                            assert_eq!(held.part, Some(part), "changes of the part bound to");
+                        }
+                        for l in &m.lines {
+                            let name = l.server.to_string();
+                            match (m.scope, l.state) {
+                                (Scope::Standing, LineState::Shut) => {
+                                    held.shut.insert(name);
+                                }
+                                (Scope::Standing, _) => {
+                                    held.shut.remove(&name);
+                                }
+                                (_, LineState::Away) => {
+                                    held.lines.remove(&name);
+                                }
+                                (_, state) => {
+                                    assert!(l.weight > 0.0);
+                                    let line = (format!("{:.6}", l.weight), state);
+                                    held.lines.insert(name, line);
+                                }
+                            }
+                        }
+                    }
+                }
+                Output::Close(session, _) => {
+                    self.held.remove(session);
+                    self.closed.push(*session);
+                }
+                Output::Probe { server, .. } => self.probed.push(server.clone()),
+                Output::Note(note) => self.notes.push(note.clone()),
+            }
+        }
+        out
+    }
+
+    /// Lets time pass in steps; proxies answer what they were sent a step later.
+    fn pass(&mut self, ms: f64, step: f64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += step;
+            let mut inputs = Vec::new();
+            for (s, h) in &mut self.held {
+                if self.answering && h.answered < h.last {
+                    h.answered = h.last;
+                    inputs.push(Input::Applied(*s, h.last));
+                }
+            }
+            for server in std::mem::take(&mut self.probed) {
+                inputs.push(Input::Probed {
+                    server,
+                    fine: true,
+                    took_ms: 1.0,
+                });
+            }
+            self.tell(inputs);
+        }
+    }
+
+    fn join(&mut self, session: Session, proxy: &str) {
+        let input = Input::Joined {
+            session,
+            proxy: proxy.into(),
+            zone: "east".into(),
+            pace: Some(50.0),
+        };
+        self.tell(vec![input]);
+    }
+
+    fn roster(&mut self, servers: &[(&str, AdminState)]) {
+        let entries = servers.iter().map(|(n, s)| entry(n, *s)).collect();
+        self.tell(vec![Input::Roster(entries)]);
+    }
+
+    /// Every bound proxy holds exactly what the controller says its part is.
+    fn agrees(&self) {
+        let view = self.controller.overview();
+        for p in &view.proxies {
+            let held = &self.held[&p.session];
+            assert_eq!(held.part, p.part, "{}", p.name);
+            let there = view
+                .servers
+                .iter()
+                .filter(|s| s.part == p.part && s.weight > 0.0);
+            let wanted: BTreeMap<_, _> = there
+                .map(|s| {
+                    let state = match s.shut {
+                        true => LineState::Shut,
+                        false => LineState::Open,
+                    };
+                    (s.name.to_string(), (format!("{:.6}", s.weight), state))
+                })
+                .collect();
+            if p.part.is_some() {
+                assert_eq!(held.lines, wanted, "{}", p.name);
+            }
+        }
+    }
+}
+
+use AdminState::{Draining, Gone, Ready};
+
+fn five() -> Day {
+    let mut day = Day::begun(terms());
+    let names = ["a", "bb", "ccc", "dddd", "eeeee"];
+    day.roster(&names.map(|n| (n, Ready)));
+    day.join(1, "p1");
+    day.join(2, "p2");
+    day.pass(3000.0, 100.0);
+    day
+}
+
+#[test]
+fn a_proxy_is_bound_and_holds_every_ready_server() {
+    let day = five();
+    day.agrees();
+    assert_eq!(day.held[&1].lines.len(), 5);
+    assert_eq!(day.held[&1].lines, day.held[&2].lines);
+    assert!(day.closed.is_empty());
+}
+
+#[test]
+fn a_drain_goes_out_at_once_to_bound_and_to_waiting_proxies() {
+    let mut day = five();
+    day.roster(&[
+        ("a", Draining),
+        ("bb", Ready),
+        ("ccc", Ready),
+        ("dddd", Ready),
+    ]);
+    for s in [1, 2] {
+        let open = day.held[&s]
+            .lines
+            .iter()
+            .filter(|l| l.1.1 == LineState::Open);
+        let open: Vec<_> = open.map(|(n, _)| n.as_str()).collect();
+        assert_eq!(open, ["bb", "ccc", "dddd"], "draining and dropped alike");
+    }
+    // The channel is full of what nobody answers: a joiner waits, but is told what is withdrawn.
+    let mut day = Day::begun(Terms {
+        most_waiting: 150.0,
+        ..terms()
+    });
+    day.answering = false;
+    day.roster(&["a", "bb", "ccc", "dddd", "eeeee"].map(|n| (n, Ready)));
+    (1..=9).for_each(|s| day.join(s, &format!("p{s}")));
+    day.roster(&[("a", Draining), ("bb", Ready), ("ccc", Ready)]);
+    day.join(10, "late");
+    assert_eq!(day.held[&10].part, None);
+    assert!(day.held[&10].shut.contains("a"), "{:?}", day.held[&10]);
+}
+
+#[test]
+fn a_refused_message_is_told_again_withdrawals_first() {
+    let mut day = five();
+    day.answering = false;
+    day.roster(&[
+        ("a", Draining),
+        ("bb", Ready),
+        ("ccc", Ready),
+        ("dddd", Ready),
+    ]);
+    let serial = day.held[&1].last;
+    let out = day.tell(vec![Input::Refused(1, serial, "unknown server".into())]);
+    let again = out.iter().find_map(|o| match o {
+        Output::Write(to, m) if to == &vec![1] => Some(m.clone()),
+        _ => None,
+    });
+    let again = again.expect("what was withdrawn is written again at once");
+    assert!(again.lines.iter().all(|l| l.state != LineState::Open));
+    assert!(again.lines.iter().any(|l| &*l.server == "a"));
+    // The rest follows after the grace.
+    day.answering = true;
+    day.pass(3_500.0, 100.0);
+    let view = day.controller.overview();
+    assert!(view.proxies.iter().all(|p| p.refusal.is_none()), "{view:?}");
+    assert_eq!(view.accounts.refused, 1);
+    day.agrees();
+}
+
+#[test]
+fn odd_answers_and_second_streams_disturb_nobody() {
+    let mut day = five();
+    let odd = [
+        Input::Applied(1, 0),
+        Input::Applied(1, 9999),
+        Input::Applied(77, 1),
+        Input::Refused(77, 1, "who".into()),
+        Input::Left(77),
+        Input::Reported(77, Report::default()),
+    ];
+    day.tell(odd.to_vec());
+    assert_eq!(day.controller.overview().accounts.odd_answers, 4);
+    // The same node again: the newer stream holds, the older one's late words count for nothing.
+    day.join(3, "p1");
+    assert_eq!(day.closed, [1]);
+    day.controller.take(day.now, vec![Input::Left(1)]);
+    day.pass(3000.0, 100.0);
+    day.agrees();
+    assert_eq!(day.controller.overview().proxies.len(), 2);
+    // A zone that nobody knows.
+    let input = Input::Joined {
+        session: 9,
+        proxy: "p9".into(),
+        zone: "mars".into(),
+        pace: None,
+    };
+    day.tell(vec![input]);
+    assert_eq!(day.closed, [1, 9]);
+}
+
+#[test]
+fn a_proxy_that_answers_nothing_is_given_up_and_the_others_go_on() {
+    let mut day = five();
+    let mute = 2;
+    let mut last = 0;
+    for i in 0..40 {
+        let state = if i % 2 == 0 { Draining } else { Ready };
+        day.roster(&[("a", state), ("bb", Ready), ("ccc", Ready), ("dddd", Ready)]);
+        day.now += 500.0;
+        if let Some(h) = day.held.get_mut(&1) {
+            last = h.last;
+        }
+        day.tell(vec![Input::Applied(1, last)]);
+        if day.closed.contains(&mute) {
+            break;
+        }
+    }
+    assert_eq!(day.closed, [mute]);
+    assert!(day.notes.iter().any(|n| n.contains("p2: answers nothing")));
+    day.pass(15_000.0, 100.0);
+    day.agrees();
+}
+
+#[test]
+fn an_index_is_used_again_only_when_nothing_refers_to_it() {
+    let mut day = five();
+    for round in 0..40 {
+        // Each day one server is replaced by one of a new name, of the same zone.
+        let name = format!(
+            "{}{}",
+            "n".repeat(2 + 2 * (round % 3)),
+            "x".repeat(round / 3 * 2)
+        );
+        let names = [(name.as_str(), Ready), ("bb", Ready), ("dddd", Ready)];
+        day.roster(&names);
+        day.pass(170_000.0, 1000.0);
+        day.agrees();
+    }
+    let view = day.controller.overview();
+    let known: Vec<_> = view.servers.iter().map(|s| s.name.to_string()).collect();
+    assert!(known.len() <= 4, "old names are forgotten: {known:?}");
+    assert_eq!(view.servers.iter().filter(|s| s.state == Ready).count(), 3);
+}
+
+#[test]
+fn reports_that_cannot_be_are_refused_and_unknown_ones_counted() {
+    let mut day = five();
+    let line = |server: &str, tries, failed, good_ms| MetLine {
+        server: server.into(),
+        tries,
+        failed,
+        good_ms,
+    };
+    let report = |met| Report {
+        window_ms: 500.0,
+        met: vec![met],
+        came: vec![("view".into(), 3.0)],
+    };
+    let cases = [
+        (line("a", 10.0, 1.0, 90.0), true),
+        (line("nobody", 10.0, 1.0, 90.0), true),
+        (line("a", -1.0, 0.0, 0.0), false),
+        (line("a", 1.0, 2.0, 0.0), false),
+        (line("a", f64::NAN, 0.0, 0.0), false),
+        (line("a", 1e10, 0.0, 1.0), false),
+        (line("a", 5.0, 5.0, 1.0), false),
+        (line("a", 5.0, 0.0, f64::INFINITY), false),
+    ];
+    for (met, fine) in &cases {
+        let report = report(met.clone());
+        assert_eq!(
+            dahliapoint_control::fault_of(&report).is_none(),
+            *fine,
+            "{met:?}"
+        );
+        day.tell(vec![Input::Reported(1, report)]);
+    }
+    let accounts = day.controller.overview().accounts;
+    assert_eq!((accounts.report_lines, accounts.unknown_lines), (1, 1));
+    assert_eq!(accounts.refused_reports, 6);
+    let long = Report {
+        window_ms: 1e9,
+        ..report(line("a", 1.0, 0.0, 1.0))
+    };
+    assert!(dahliapoint_control::fault_of(&long).is_some());
+}
+
+fn inputs() -> impl Strategy<Value = Input> {
+    let name = prop::sample::select(vec!["a", "bb", "ccc", "dddd", "é ü/\"\n", "f%2F\u{0}"]);
+    let state = prop::sample::select(vec![Ready, Draining, Gone]);
+    let started = prop::option::of((0.0..20_000.0, 0_u64..4));
+    let one = (name, state, 0.1..4.0_f64, started).prop_map(|(n, state, weight, started)| Entry {
+        weight,
+        started,
+        ..entry(n, state)
+    });
+    let roster = prop::collection::vec(one, 0..7);
+    let session = 1_u64..6;
+    let met = ("[a-d]{1,4}", 0.0..50.0, 0.0..1.0, 0.0..3000.0).prop_map(
+        |(server, tries, part, mean): (String, f64, f64, f64)| MetLine {
+            server,
+            tries,
+            failed: tries * part,
+            good_ms: tries * (1.0 - part) * mean,
+        },
+    );
+    let report = prop::collection::vec(met, 0..5).prop_map(|met| Report {
+        window_ms: 500.0,
+        met,
+        came: vec![("view".into(), 9.0), ("none".into(), 1.0)],
+    });
+    prop_oneof![
+        roster.clone().prop_map(Input::Roster),
+        roster.prop_map(Input::RosterChanges),
+        (session.clone(), 0.0..90.0).prop_map(|(s, pace)| Input::Joined {
+            session: s,
+            proxy: format!("p{}", s % 4),
+            zone: if s % 2 == 0 { "east" } else { "west" }.into(),
+            pace: Some(pace),
+        }),
+        session.clone().prop_map(Input::Left),
+        (session.clone(), 0_u64..60).prop_map(|(s, n)| Input::Applied(s, n)),
+        (session.clone(), 0_u64..60).prop_map(|(s, n)| Input::Refused(s, n, "no".into())),
+        (session, report).prop_map(|(s, r)| Input::Reported(s, r)),
+        ("[a-d]{1,4}", any::<bool>()).prop_map(|(server, fine)| Input::Probed {
+            server,
+            fine,
+            took_ms: 3.0
+        }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 96, failure_persistence: None, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// Whatever comes, in whatever order: no panic, tables held are those that were ordered, and the
+    /// day written down plays again to the same bytes; torn or damaged records end where they must.
+    #[test]
+    fn any_day_is_obeyed_and_plays_again(
+        moments in prop::collection::vec((prop::collection::vec(inputs(), 0..4), 1.0..4000.0_f64), 1..60),
+        cut in 0.0..1.0_f64,
+    ) {
+        let mut day = Day::begun(terms());
+        let begin = Begin { now: day.now, seed: 7, terms: terms() };
+        let mut record = Recorder::begin(Vec::new(), &begin).unwrap();
+        let mut bytes = Vec::new();
+        let mut streams = 0;
+        let mut live: BTreeMap<Session, Session> = BTreeMap::new();
+        for (inputs, step) in moments {
+            day.now += step;
+            // Streams are numbered once each; later words of a drawn number mean its newest stream.
+            let inputs: Vec<_> = inputs.into_iter().map(|input| {
+                let of = |s: &Session| live.get(s).copied().unwrap_or(*s + 1000);
+                match input {
+                    Input::Joined { session, proxy, zone, pace } => {
+                        streams += 1;
+                        live.insert(session, streams);
+                        Input::Joined { session: streams, proxy, zone, pace }
+                    }
+                    Input::Left(s) => Input::Left(of(&s)),
+                    Input::Applied(s, n) => Input::Applied(of(&s), n),
+                    Input::Refused(s, n, why) => Input::Refused(of(&s), n, why),
+                    Input::Reported(s, r) => Input::Reported(of(&s), r),
+                    other => other,
+                }
+            }).collect();
+            record.note(day.now, &inputs).unwrap();
+            let out = day.tell(inputs);
+            bytes.extend(bytes_of(&out));
+        }
+        day.agrees();
+        let written = record.into_inner();
+        let mut again = Vec::new();
+        let (controller, end) = replay(&written[..], |_, out| again.extend(bytes_of(out))).unwrap();
+        prop_assert_eq!(end, End::Whole);
+        prop_assert!(bytes == again);
+        prop_assert_eq!(controller.overview(), day.controller.overview());
+        let cut = 8 + ((written.len() - 8) as f64 * cut) as usize;
+        let mut part = Vec::new();
+        if let Ok((_, end)) = replay(&written[..cut], |_, out| part.extend(bytes_of(out))) {
+            prop_assert!(end == End::Torn || end == End::Whole);
+            prop_assert!(again.starts_with(&part));
+        }
+        let mut damaged = written.clone();
+        damaged[cut.min(written.len() - 1)] ^= 0x40;
+        if let Ok((_, end)) = replay(&damaged[..], |_, _| ()) {
+            prop_assert!(end != End::Whole, "damage is seen");
+        }
+    }
+}
