xDS front: delta and full discovery, LEDS lines, load reports, client status

Assignments and load reports go by the public specification. crates/xds has the resources (a cluster and an assignment a class, lines in a LEDS collection a part, withdrawals in one of their own for proxies on tables that this stream has not given), a session free of I/O that merges what a slow client has not taken, a holder for the client's side, and the gRPC handlers around them.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -8,6 +8,7 @@
 use crate::{Scope, Session, Terms, Way};
 use dahliapoint::rules::Planner;
 use dahliapoint::{Admission, Class, Extent, Listed, Opening, Orders, Standing, Tries};
+use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
@@ -51,7 +52,7 @@
 }
 
 /// A server as an operator wants to see it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct ServerView {
     pub name: Arc<str>,
     pub address: Arc<str>,
@@ -64,7 +65,7 @@
 }
 
 /// A proxy as an operator wants to see it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct ProxyView {
     pub name: Arc<str>,
     pub zone: String,
@@ -76,7 +77,7 @@
 }
 
 /// All of it at one moment.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Overview {
     pub servers: Vec<ServerView>,
     pub proxies: Vec<ProxyView>,
--- a/crates/fibers/src/lib.rs
+++ b/crates/fibers/src/lib.rs
@@ -4,9 +4,11 @@
 //! below parks the coroutine (or the thread, where a plain thread calls); no lock is held across a
 //! wait. The crate decides nothing.
 
+mod bell;
 mod pipe;
 mod queue;
 
+pub use bell::Bell;
 pub use pipe::{Wire, wire};
 pub use queue::{Closed, Queue, Received};
 
--- /dev/null
+++ b/crates/xds/src/holder.rs
@@ -0,0 +1,344 @@
+//! The client's side of a delta stream with LEDS, free of I/O: what a proxy was given and holds, and the
+//! requests that follow from a response. A response is taken whole or refused whole; what is held stays
+//! when the stream breaks, and is told to the next one.
+
+use crate::LEDS_FEATURE;
+use crate::names::{self, CDS, EDS, LEDS, RDS};
+use crate::pb::cluster::Cluster;
+use crate::pb::core::{Locality, Node};
+use crate::pb::discovery::{DeltaDiscoveryRequest, DeltaDiscoveryResponse, Resource};
+use crate::pb::endpoint::locality_lb_endpoints::LbConfig;
+use crate::pb::endpoint::{ClusterLoadAssignment, LbEndpoint, lb_endpoint::HostIdentifier};
+use crate::pb::protobuf::{Struct, Value, value::Kind};
+use crate::pb::route::{RouteConfiguration, route};
+use crate::pb::rpc::Status;
+use crate::resources::{healthy, text_of, weight_of};
+use prost::Message;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A line as held.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldLine {
+    pub server: String,
+    pub address: String,
+    pub weight: u32,
+    pub open: bool,
+}
+
+/// A table as held: the lines, by class the share let in, and by class when to try again.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Held {
+    pub lines: Vec<HeldLine>,
+    pub shares: BTreeMap<String, f64>,
+    pub retry_on: BTreeMap<String, String>,
+}
+
+#[derive(Clone, Debug)]
+struct Assignment {
+    collection: Option<String>,
+    share: f64,
+}
+
+/// See the module's head.
+#[derive(Debug)]
+pub struct Holder {
+    node: Node,
+    service: String,
+    versions: BTreeMap<&'static str, BTreeMap<String, String>>,
+    assignments: BTreeMap<String, Assignment>,
+    retry_on: BTreeMap<String, String>,
+    lines: BTreeMap<String, HeldLine>,
+    subscribed: BTreeSet<String>,
+    /// The collection whose lines are in use.
+    active: Option<String>,
+    /// Withdrawn, whatever the table: told while the proxy is on tables that this stream has not given.
+    shut: BTreeSet<String>,
+    /// Responses applied, and refused.
+    pub applied: u64,
+    pub refused: u64,
+}
+
+impl Holder {
+    /// For a proxy of that name in a zone, to which so many visits a second usually come.
+    pub fn new(service: &str, id: &str, zone: &str, pace: f64) -> Holder {
+        let pace = Value {
+            kind: Some(Kind::NumberValue(pace)),
+        };
+        Holder {
+            node: Node {
+                id: id.into(),
+                cluster: service.into(),
+                locality: Some(Locality {
+                    zone: zone.into(),
+                    ..Locality::default()
+                }),
+                metadata: Some(Struct {
+                    fields: [("pace_per_s".to_string(), pace)].into(),
+                }),
+                user_agent_name: "dahliapoint".into(),
+                client_features: vec![LEDS_FEATURE.into()],
+                ..Node::default()
+            },
+            service: service.into(),
+            versions: [CDS, RDS, EDS, LEDS].map(|t| (t, BTreeMap::new())).into(),
+            assignments: BTreeMap::new(),
+            retry_on: BTreeMap::new(),
+            lines: BTreeMap::new(),
+            subscribed: BTreeSet::new(),
+            active: None,
+            shut: BTreeSet::new(),
+            applied: 0,
+            refused: 0,
+        }
+    }
+
+    pub fn node(&self) -> &Node {
+        &self.node
+    }
+
+    /// The requests that begin a stream, with what is held.
+    pub fn begin(&mut self) -> Vec<DeltaDiscoveryRequest> {
+        let held = |t: &'static str| self.versions[t].clone().into_iter().collect();
+        let classes: Vec<String> = self.versions[CDS].keys().cloned().collect();
+        let mut collections = vec![names::withdrawn(&self.service)];
+        let given = [self.active.clone(), self.wanted()];
+        collections.extend(given.into_iter().flatten());
+        collections.dedup();
+        let request = |t: &'static str, subscribe: Vec<String>| DeltaDiscoveryRequest {
+            type_url: t.into(),
+            resource_names_subscribe: subscribe,
+            initial_resource_versions: held(t),
+            ..DeltaDiscoveryRequest::default()
+        };
+        let mut requests = vec![
+            request(CDS, vec![]),
+            request(RDS, vec![names::routes(&self.service)]),
+        ];
+        if !classes.is_empty() {
+            requests.push(request(EDS, classes));
+        }
+        requests.push(request(LEDS, collections.clone()));
+        requests[0].node = Some(self.node.clone());
+        self.subscribed = collections.into_iter().collect();
+        requests
+    }
+
+    /// Takes a response whole, or refuses it whole; `known` tells whether a server exists. Returns what
+    /// to ask next, the answer first.
+    pub fn apply(
+        &mut self,
+        response: &DeltaDiscoveryResponse,
+        known: impl Fn(&str) -> bool,
+    ) -> Vec<DeltaDiscoveryRequest> {
+        let kind = [CDS, RDS, EDS, LEDS];
+        let kind = kind.into_iter().find(|k| *k == response.type_url);
+        let mut answer = DeltaDiscoveryRequest {
+            type_url: response.type_url.clone(),
+            response_nonce: response.nonce.clone(),
+            ..DeltaDiscoveryRequest::default()
+        };
+        let checked = match kind {
+            None => Err(format!("type {} was not asked for", response.type_url)),
+            Some(kind) => self.check(kind, response, known).map(|()| kind),
+        };
+        let kind = match checked {
+            Ok(kind) => kind,
+            Err(why) => {
+                self.refused += 1;
+                answer.error_detail = Some(Status {
+                    code: 3,
+                    message: why,
+                    ..Status::default()
+                });
+                return vec![answer];
+            }
+        };
+        self.applied += 1;
+        let versions = self.versions.entry(kind).or_default();
+        for r in &response.resources {
+            versions.insert(r.name.clone(), r.version.clone());
+        }
+        for name in &response.removed_resources {
+            versions.remove(name);
+        }
+        let mut requests = vec![answer];
+        match kind {
+            CDS => requests.extend(self.take_clusters(response)),
+            RDS => self.take_routes(response),
+            EDS => requests.extend(self.take_assignments(response)),
+            _ => requests.extend(self.take_lines(response)),
+        }
+        requests
+    }
+
+    /// All of a response can be read, and names only what exists.
+    fn check(
+        &self,
+        kind: &str,
+        response: &DeltaDiscoveryResponse,
+        known: impl Fn(&str) -> bool,
+    ) -> Result<(), String> {
+        for r in &response.resources {
+            let bytes = r.resource.as_ref().map(|any| any.value.as_slice());
+            let bytes = bytes.ok_or_else(|| format!("{}: no resource", r.name))?;
+            let unread = |e| format!("{}: {e}", r.name);
+            match kind {
+                CDS => drop(Cluster::decode(bytes).map_err(unread)?),
+                RDS => drop(RouteConfiguration::decode(bytes).map_err(unread)?),
+                EDS => drop(ClusterLoadAssignment::decode(bytes).map_err(unread)?),
+                _ => {
+                    let line = line_of(r).ok_or_else(|| format!("{}: not a line", r.name))?;
+                    if !known(&line.server) {
+                        return Err(format!("no server {:?} is known", line.server));
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn take_clusters(&self, response: &DeltaDiscoveryResponse) -> Option<DeltaDiscoveryRequest> {
+        let asked = &self.assignments;
+        let names = response.resources.iter().map(|r| r.name.clone());
+        let names: Vec<_> = names.filter(|n| !asked.contains_key(n)).collect();
+        (!names.is_empty()).then(|| DeltaDiscoveryRequest {
+            type_url: EDS.into(),
+            resource_names_subscribe: names,
+            ..DeltaDiscoveryRequest::default()
+        })
+    }
+
+    fn take_routes(&mut self, response: &DeltaDiscoveryResponse) {
+        for r in &response.resources {
+            let Some(routes) = read::<RouteConfiguration>(r) else {
+                continue;
+            };
+            for route in routes.virtual_hosts.into_iter().flat_map(|v| v.routes) {
+                let Some(route::Action::Route(action)) = route.action else {
+                    continue;
+                };
+                let on = action.retry_policy.map(|p| p.retry_on);
+                self.retry_on.insert(route.name, on.unwrap_or_default());
+            }
+        }
+    }
+
+    fn take_assignments(
+        &mut self,
+        response: &DeltaDiscoveryResponse,
+    ) -> Option<DeltaDiscoveryRequest> {
+        for r in &response.resources {
+            let Some(cla) = read::<ClusterLoadAssignment>(r) else {
+                continue;
+            };
+            let collection = cla.endpoints.iter().find_map(|l| match &l.lb_config {
+                Some(LbConfig::LedsClusterLocalityConfig(c)) => {
+                    Some(c.leds_collection_name.clone())
+                }
+                _ => None,
+            });
+            let drops = cla.policy.map(|p| p.drop_overloads).unwrap_or_default();
+            let refused = drops.iter().filter_map(|d| d.drop_percentage);
+            let refused: f64 = refused.map(|p| f64::from(p.numerator) / 1e6).sum();
+            let share = (1.0 - refused).max(0.0);
+            self.assignments
+                .insert(r.name.clone(), Assignment { collection, share });
+        }
+        let wanted = self.wanted()?;
+        self.subscribed
+            .insert(wanted.clone())
+            .then(|| DeltaDiscoveryRequest {
+                type_url: LEDS.into(),
+                resource_names_subscribe: vec![wanted],
+                ..DeltaDiscoveryRequest::default()
+            })
+    }
+
+    /// The collection that the assignments name.
+    fn wanted(&self) -> Option<String> {
+        let mut named = self.assignments.values();
+        named.find_map(|a| a.collection.clone())
+    }
+
+    fn take_lines(&mut self, response: &DeltaDiscoveryResponse) -> Option<DeltaDiscoveryRequest> {
+        let withdrawn = names::withdrawn(&self.service);
+        let mut came = false;
+        let wanted = self.wanted();
+        for r in &response.resources {
+            let Some((line, (collection, _))) = line_of(r).zip(names::of_line(&r.name)) else {
+                continue;
+            };
+            came |= Some(&collection) == wanted.as_ref();
+            if collection == withdrawn {
+                self.shut.insert(line.server);
+            } else {
+                self.lines.insert(r.name.clone(), line);
+            }
+        }
+        for name in &response.removed_resources {
+            match names::of_line(name) {
+                Some((collection, server)) if collection == withdrawn => {
+                    self.shut.remove(&server);
+                }
+                _ => drop(self.lines.remove(name)),
+            }
+        }
+        // The old table is used until the first lines of the new one are there.
+        if !came || self.active == wanted {
+            return None;
+        }
+        let old = std::mem::replace(&mut self.active, wanted)?;
+        let stem = old.strip_suffix('*').unwrap_or(&old).to_string();
+        self.lines.retain(|name, _| !name.starts_with(&stem));
+        if let Some(versions) = self.versions.get_mut(LEDS) {
+            versions.retain(|name, _| !name.starts_with(&stem));
+        }
+        self.subscribed.remove(&old);
+        Some(DeltaDiscoveryRequest {
+            type_url: LEDS.into(),
+            resource_names_unsubscribe: vec![old],
+            ..DeltaDiscoveryRequest::default()
+        })
+    }
+
+    /// The table that was given; none yet: the proxy is on a table of its own.
+    pub fn table(&self) -> Option<Held> {
+        let active = self.active.as_ref()?;
+        let stem = active.strip_suffix('*').unwrap_or(active);
+        let there = self.lines.iter().filter(|(n, _)| n.starts_with(stem));
+        let lines = there.map(|(_, l)| HeldLine {
+            open: l.open && !self.is_shut(&l.server),
+            ..l.clone()
+        });
+        let class = |name: &String| names::class_of(&self.service, name).unwrap_or_default();
+        let shares = self.assignments.iter().map(|(n, a)| (class(n), a.share));
+        Some(Held {
+            lines: lines.collect(),
+            shares: shares.collect(),
+            retry_on: self.retry_on.clone(),
+        })
+    }
+
+    /// Withdrawn, whatever table names it.
+    pub fn is_shut(&self, server: &str) -> bool {
+        self.shut.contains(server)
+    }
+}
+
+fn read<M: Message + Default>(resource: &Resource) -> Option<M> {
+    let any = resource.resource.as_ref()?;
+    M::decode(any.value.as_slice()).ok()
+}
+
+fn line_of(resource: &Resource) -> Option<HeldLine> {
+    let line: LbEndpoint = read(resource)?;
+    let Some(HostIdentifier::Endpoint(endpoint)) = &line.host_identifier else {
+        return None;
+    };
+    Some(HeldLine {
+        server: endpoint.hostname.clone(),
+        address: text_of(endpoint.address.as_ref())?,
+        weight: weight_of(&line),
+        open: healthy(&line),
+    })
+}
--- /dev/null
+++ b/crates/xds/src/lib.rs
@@ -0,0 +1,44 @@
+//! The first front: xDS v3 over gRPC. It turns what proxies say into calls on `dahliapoint-control` and
+//! what that orders into discovery responses; it decides nothing about tables.
+//!
+//! Served: aggregated discovery (state of the world and delta), endpoint discovery (both), locality
+//! endpoint discovery (delta), load reporting, client status. docs/design/controller.md has the mapping,
+//! and what a plain client sees that knows no LEDS.
+
+mod front;
+mod holder;
+mod lrs;
+pub mod names;
+mod resources;
+mod session;
+mod status;
+
+pub use front::{Front, Owner, Stream};
+pub use holder::{Held, HeldLine, Holder};
+pub use lrs::{ClusterTally, EndpointTally, read as read_loads, request as load_request};
+pub use resources::{SCALE, Shape};
+pub use session::{Answer, Flavour, Session};
+pub use status::{ResourceState, StatusRow, read as read_status};
+
+/// The messages of the specification.
+pub mod pb {
+    pub use envoy_types::pb::envoy::admin::v3 as admin;
+    pub use envoy_types::pb::envoy::config::cluster::v3 as cluster;
+    pub use envoy_types::pb::envoy::config::core::v3 as core;
+    pub use envoy_types::pb::envoy::config::endpoint::v3 as endpoint;
+    pub use envoy_types::pb::envoy::config::route::v3 as route;
+    pub use envoy_types::pb::envoy::service::discovery::v3 as discovery;
+    pub use envoy_types::pb::envoy::service::load_stats::v3 as load_stats;
+    pub use envoy_types::pb::envoy::service::status::v3 as status;
+    pub use envoy_types::pb::envoy::r#type::v3 as kinds;
+    pub use envoy_types::pb::google::protobuf;
+    pub use envoy_types::pb::google::rpc;
+}
+
+/// A feature that a client names in `Node.client_features` if it takes lines by LEDS.
+pub const LEDS_FEATURE: &str = "xds.config.leds";
+
+/// Responses that one message of the controller becomes at most, and those of a joining: clusters,
+/// routes, assignments, lines, withdrawals.
+pub const RESPONSES_BY_MESSAGE: f64 = 3.0;
+pub const RESPONSES_BY_JOINING: f64 = 6.0;
--- /dev/null
+++ b/crates/xds/src/lrs.rs
@@ -0,0 +1,151 @@
+//! Load reports: `StreamLoadStats` with endpoint granularity, read into what the controller is told, and
+//! written from what a proxy counted.
+
+use crate::pb::core::Node;
+use crate::pb::endpoint::cluster_stats::DroppedRequests;
+use crate::pb::endpoint::{
+    ClusterStats, EndpointLoadMetricStats, UpstreamEndpointStats, UpstreamLocalityStats,
+};
+use crate::pb::load_stats::LoadStatsRequest;
+use crate::pb::protobuf::Duration;
+use crate::resources::{Shape, address_of, text_of};
+use dahliapoint_control::{MetLine, Report};
+use std::collections::BTreeMap;
+
+/// The metric that carries the summed time of tries that did not fail, in milliseconds. Servers' own
+/// words, by their ORCA names, stand beside it.
+pub const VISIT_MS: &str = "visit_ms";
+
+/// Lines that one report may hold; more is a fault of the reporter.
+const MOST_LINES: usize = 20_000;
+
+/// Reads a report.
+///
+/// # Errors
+/// A sentence about what no proxy can have met.
+pub fn read(shape: &Shape, request: &LoadStatsRequest) -> Result<Option<Report>, String> {
+    let mut report = Report::default();
+    let mut met: BTreeMap<String, MetLine> = BTreeMap::new();
+    let mut lines = 0;
+    for cluster in &request.cluster_stats {
+        let interval = cluster.load_report_interval.as_ref();
+        let window = interval.map_or(0.0, |d| d.seconds as f64 * 1e3 + f64::from(d.nanos) / 1e6);
+        report.window_ms = report.window_ms.max(window);
+        let Some(class) = shape.class_of(&cluster.cluster_name) else {
+            // Of a cluster that is not this service's; counted by the controller as unknown.
+            report.came.push((cluster.cluster_name.clone(), 0.0));
+            continue;
+        };
+        let mut visits = cluster.total_dropped_requests as f64;
+        for locality in &cluster.upstream_locality_stats {
+            for e in &locality.upstream_endpoint_stats {
+                lines += 1;
+                if lines > MOST_LINES {
+                    return Err(format!("more than {MOST_LINES} lines in one report"));
+                }
+                let Some(server) = text_of(e.address.as_ref()) else {
+                    return Err("an endpoint without an address".into());
+                };
+                let good = e.total_successful_requests as f64;
+                let failed = e.total_error_requests as f64;
+                let times = e.load_metric_stats.iter();
+                let times = times.filter(|m| m.metric_name == VISIT_MS);
+                let line = met.entry(server.clone()).or_insert_with(|| MetLine {
+                    server,
+                    tries: 0.0,
+                    failed: 0.0,
+                    good_ms: 0.0,
+                });
+                line.tries += good + failed;
+                line.failed += failed;
+                line.good_ms += times.map(|m| m.total_metric_value).sum::<f64>();
+                visits += e.total_issued_requests as f64;
+            }
+        }
+        report.came.push((shape.classes[class].clone(), visits));
+    }
+    report.met = met.into_values().collect();
+    if request.cluster_stats.is_empty() {
+        return Ok(None);
+    }
+    match dahliapoint_control::fault_of(&report) {
+        Some(why) => Err(why),
+        None => Ok(Some(report)),
+    }
+}
+
+/// What a proxy counted at one endpoint.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct EndpointTally {
+    pub address: String,
+    pub issued: u64,
+    pub good: u64,
+    pub failed: u64,
+    pub in_progress: u64,
+    /// Summed time of the good ones.
+    pub good_ms: f64,
+    /// The server's own words, by name: how many answers carried one, and their sum.
+    pub words: BTreeMap<String, (u64, f64)>,
+}
+
+/// What a proxy counted of one class.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ClusterTally {
+    pub cluster: String,
+    pub dropped: BTreeMap<String, u64>,
+    pub endpoints: Vec<EndpointTally>,
+}
+
+/// A report of what was counted over a stretch of time.
+pub fn request(node: Option<Node>, window_ms: f64, tallies: &[ClusterTally]) -> LoadStatsRequest {
+    let interval = Duration {
+        seconds: (window_ms / 1e3) as i64,
+        nanos: ((window_ms % 1e3) * 1e6) as i32,
+    };
+    let endpoint = |e: &EndpointTally| {
+        let time = EndpointLoadMetricStats {
+            metric_name: VISIT_MS.into(),
+            num_requests_finished_with_metric: e.good,
+            total_metric_value: e.good_ms,
+        };
+        let words = e
+            .words
+            .iter()
+            .map(|(name, (n, sum))| EndpointLoadMetricStats {
+                metric_name: name.clone(),
+                num_requests_finished_with_metric: *n,
+                total_metric_value: *sum,
+            });
+        UpstreamEndpointStats {
+            address: Some(address_of(&e.address)),
+            total_successful_requests: e.good,
+            total_requests_in_progress: e.in_progress,
+            total_error_requests: e.failed,
+            total_issued_requests: e.issued,
+            load_metric_stats: std::iter::once(time).chain(words).collect(),
+            ..UpstreamEndpointStats::default()
+        }
+    };
+    let cluster = |t: &ClusterTally| ClusterStats {
+        cluster_name: t.cluster.clone(),
+        upstream_locality_stats: vec![UpstreamLocalityStats {
+            upstream_endpoint_stats: t.endpoints.iter().map(endpoint).collect(),
+            ..UpstreamLocalityStats::default()
+        }],
+        total_dropped_requests: t.dropped.values().sum(),
+        dropped_requests: t
+            .dropped
+            .iter()
+            .map(|(category, n)| DroppedRequests {
+                category: category.clone(),
+                dropped_count: *n,
+            })
+            .collect(),
+        load_report_interval: Some(interval),
+        ..ClusterStats::default()
+    };
+    LoadStatsRequest {
+        node,
+        cluster_stats: tallies.iter().map(cluster).collect(),
+    }
+}
--- /dev/null
+++ b/crates/xds/src/resources.rs
@@ -0,0 +1,358 @@
+//! What the controller orders, as resources of the specification, each with a version that says what is
+//! in it: the same content has the same version in every run, so a proxy that returns with what it holds
+//! is sent only what differs.
+
+use crate::names;
+use crate::pb::cluster::Cluster;
+use crate::pb::cluster::cluster::{
+    ClusterDiscoveryType, DiscoveryType, EdsClusterConfig, LbPolicy,
+};
+use crate::pb::core::{
+    Address, AggregatedConfigSource, ApiVersion, ConfigSource, HealthStatus, Locality,
+    SelfConfigSource, SocketAddress, address, config_source::ConfigSourceSpecifier, socket_address,
+};
+use crate::pb::endpoint::cluster_load_assignment::{Policy, policy::DropOverload};
+use crate::pb::endpoint::locality_lb_endpoints::LbConfig;
+use crate::pb::endpoint::{
+    ClusterLoadAssignment, Endpoint, LbEndpoint, LedsClusterLocalityConfig, LocalityLbEndpoints,
+    lb_endpoint::HostIdentifier,
+};
+use crate::pb::kinds::{FractionalPercent, fractional_percent::DenominatorType};
+use crate::pb::protobuf::{Any, Duration, UInt32Value};
+use crate::pb::route::{
+    RetryPolicy, Route, RouteAction, RouteConfiguration, RouteMatch, VirtualHost, route,
+    route_action, route_match::PathSpecifier,
+};
+use dahliapoint_control::{FurtherTry, Line, LineState, Terms, Way};
+use prost::{Message, Name};
+use sha2::{Digest, Sha256};
+
+/// Whole weights on the wire for a weight of 1. Rounding is to the nearest, to no less than 1 while a
+/// line is in the table: a weight of 0.01 is off by half a hundredth at most.
+pub const SCALE: f64 = 10_000.0;
+/// The heaviest line: forty of them stay below the specification's limit on a locality's sum.
+const HEAVIEST: f64 = 1e8;
+
+/// What of the service is seen on the wire.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    pub service: String,
+    pub classes: Vec<String>,
+    pub zones: Vec<String>,
+    /// How long proxies wait for a connection.
+    pub connect_ms: f64,
+    pub shares: bool,
+}
+
+impl Shape {
+    pub fn of(terms: &Terms, connect_ms: f64) -> Shape {
+        Shape {
+            service: terms.service.clone(),
+            classes: terms.classes.iter().map(|c| c.name.clone()).collect(),
+            zones: terms.zones.clone(),
+            connect_ms,
+            shares: terms.shares,
+        }
+    }
+
+    pub fn cluster_name(&self, class: usize) -> String {
+        names::cluster(&self.service, &self.classes[class])
+    }
+
+    pub fn class_of(&self, cluster: &str) -> Option<usize> {
+        let class = names::class_of(&self.service, cluster)?;
+        self.classes.iter().position(|c| *c == class)
+    }
+}
+
+/// A resource with its version.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Versioned {
+    pub version: String,
+    pub any: Any,
+}
+
+fn packed<M: Message + Name>(message: &M, version: Option<String>) -> Versioned {
+    let value = message.encode_to_vec();
+    let digest = || {
+        let sum = Sha256::digest(&value);
+        sum.iter().take(8).map(|b| format!("{b:02x}")).collect()
+    };
+    Versioned {
+        version: version.unwrap_or_else(digest),
+        any: Any {
+            type_url: M::type_url(),
+            value,
+        },
+    }
+}
+
+/// A weight as it goes over the wire.
+pub fn scaled(weight: f64) -> u32 {
+    (weight * SCALE).round().clamp(1.0, HEAVIEST) as u32
+}
+
+pub fn address_of(text: &str) -> Address {
+    let (host, port) = text.rsplit_once(':').unwrap_or((text, "0"));
+    let host = host.trim_start_matches('[').trim_end_matches(']');
+    Address {
+        address: Some(address::Address::SocketAddress(SocketAddress {
+            address: host.to_string(),
+            port_specifier: Some(socket_address::PortSpecifier::PortValue(
+                port.parse().unwrap_or(0),
+            )),
+            ..SocketAddress::default()
+        })),
+    }
+}
+
+/// An address back as text; none if it is not one of a socket.
+pub fn text_of(address: Option<&Address>) -> Option<String> {
+    let Some(address::Address::SocketAddress(socket)) = &address?.address else {
+        return None;
+    };
+    let Some(socket_address::PortSpecifier::PortValue(port)) = socket.port_specifier else {
+        return None;
+    };
+    Some(match socket.address.contains(':') {
+        true => format!("[{}]:{port}", socket.address),
+        false => format!("{}:{port}", socket.address),
+    })
+}
+
+fn endpoint(line: &Line) -> LbEndpoint {
+    let health = match line.state {
+        LineState::Open => HealthStatus::Healthy,
+        LineState::Shut | LineState::Away => HealthStatus::Draining,
+    };
+    LbEndpoint {
+        health_status: health.into(),
+        load_balancing_weight: Some(UInt32Value {
+            value: scaled(line.weight),
+        }),
+        host_identifier: Some(HostIdentifier::Endpoint(Endpoint {
+            address: Some(address_of(&line.address)),
+            hostname: line.server.to_string(),
+            ..Endpoint::default()
+        })),
+        ..LbEndpoint::default()
+    }
+}
+
+/// A line as a resource of its own. Its version is its content, for people to read.
+pub fn line(line: &Line) -> Versioned {
+    let mark = match line.state {
+        LineState::Open => 'o',
+        LineState::Shut | LineState::Away => 'd',
+    };
+    let version = format!("{}{mark}@{}", scaled(line.weight), line.address);
+    packed(&endpoint(line), Some(version))
+}
+
+fn zone(name: &str) -> Locality {
+    Locality {
+        zone: name.to_string(),
+        ..Locality::default()
+    }
+}
+
+fn source(specifier: ConfigSourceSpecifier) -> ConfigSource {
+    ConfigSource {
+        resource_api_version: ApiVersion::V3.into(),
+        config_source_specifier: Some(specifier),
+        ..ConfigSource::default()
+    }
+}
+
+fn millis(ms: f64) -> Duration {
+    let whole = ms.max(0.0) as i64;
+    Duration {
+        seconds: whole / 1000,
+        nanos: (whole % 1000) as i32 * 1_000_000,
+    }
+}
+
+fn policy(shape: &Shape, class: usize, way: Way) -> Policy {
+    let refused = (1.0 - way.share.clamp(0.0, 1.0)) * 1e6;
+    let drop = DropOverload {
+        category: shape.classes[class].clone(),
+        drop_percentage: Some(FractionalPercent {
+            numerator: refused.round() as u32,
+            denominator: DenominatorType::Million.into(),
+        }),
+    };
+    Policy {
+        drop_overloads: if way.share < 1.0 { vec![drop] } else { vec![] },
+        ..Policy::default()
+    }
+}
+
+/// The assignment of a class whose lines are a collection.
+pub fn by_collection(shape: &Shape, class: usize, part: usize, way: Way) -> Versioned {
+    let policy = policy(shape, class, way);
+    let refused = policy
+        .drop_overloads
+        .first()
+        .and_then(|d| d.drop_percentage);
+    let refused = refused.map_or(0, |p| p.numerator);
+    let message = ClusterLoadAssignment {
+        cluster_name: shape.cluster_name(class),
+        endpoints: vec![LocalityLbEndpoints {
+            lb_config: Some(LbConfig::LedsClusterLocalityConfig(
+                LedsClusterLocalityConfig {
+                    leds_config: Some(source(ConfigSourceSpecifier::Ads(
+                        AggregatedConfigSource::default(),
+                    ))),
+                    leds_collection_name: names::part(&shape.service, part),
+                },
+            )),
+            ..LocalityLbEndpoints::default()
+        }],
+        policy: Some(policy),
+        ..ClusterLoadAssignment::default()
+    };
+    packed(&message, Some(format!("part-{part} refused-{refused}")))
+}
+
+/// The assignment of a class with its lines in it, for clients without LEDS: a locality a zone.
+pub fn inline<'a>(
+    shape: &Shape,
+    class: usize,
+    lines: impl Iterator<Item = &'a Line> + Clone,
+    way: Way,
+) -> Versioned {
+    let locality = |(index, name): (usize, &String)| {
+        let there = lines.clone().filter(|l| l.zone == index);
+        let lb_endpoints: Vec<_> = there.map(endpoint).collect();
+        let weight = lb_endpoints.iter().filter(|e| healthy(e)).map(weight_of);
+        let weight: u64 = weight.map(u64::from).sum();
+        (!lb_endpoints.is_empty()).then(|| LocalityLbEndpoints {
+            locality: Some(zone(name)),
+            lb_endpoints,
+            load_balancing_weight: Some(UInt32Value {
+                value: u32::try_from(weight.max(1)).unwrap_or(u32::MAX),
+            }),
+            ..LocalityLbEndpoints::default()
+        })
+    };
+    let message = ClusterLoadAssignment {
+        cluster_name: shape.cluster_name(class),
+        endpoints: shape
+            .zones
+            .iter()
+            .enumerate()
+            .filter_map(locality)
+            .collect(),
+        policy: Some(policy(shape, class, way)),
+        ..ClusterLoadAssignment::default()
+    };
+    packed(&message, None)
+}
+
+pub fn healthy(endpoint: &LbEndpoint) -> bool {
+    endpoint.health_status == i32::from(HealthStatus::Healthy)
+        || endpoint.health_status == i32::from(HealthStatus::Unknown)
+}
+
+/// The weight of an endpoint; 1 where none is said.
+pub fn weight_of(endpoint: &LbEndpoint) -> u32 {
+    let weight = endpoint.load_balancing_weight.as_ref();
+    weight.map_or(1, |w| w.value)
+}
+
+pub fn cluster(shape: &Shape, class: usize) -> Versioned {
+    let name = shape.cluster_name(class);
+    let message = Cluster {
+        name: name.clone(),
+        eds_cluster_config: Some(EdsClusterConfig {
+            eds_config: Some(source(ConfigSourceSpecifier::Ads(
+                AggregatedConfigSource::default(),
+            ))),
+            service_name: name,
+        }),
+        cluster_discovery_type: Some(ClusterDiscoveryType::Type(DiscoveryType::Eds.into())),
+        lb_policy: LbPolicy::RoundRobin.into(),
+        connect_timeout: Some(millis(shape.connect_ms)),
+        lrs_server: Some(source(ConfigSourceSpecifier::Self_(
+            SelfConfigSource::default(),
+        ))),
+        ..Cluster::default()
+    };
+    packed(&message, None)
+}
+
+/// A route a class, by the first segment of the path, with when its visits may be tried again.
+pub fn routes(shape: &Shape, ways: &[Way]) -> Versioned {
+    let route = |(class, way): (usize, &Way)| {
+        let retry = |on: &str| RetryPolicy {
+            retry_on: on.to_string(),
+            num_retries: Some(UInt32Value { value: 1 }),
+            ..RetryPolicy::default()
+        };
+        let retry_policy = match way.tries {
+            FurtherTry::Never => None,
+            // Proof that the first try never ran.
+            FurtherTry::OnProof => Some(retry("connect-failure,refused-stream")),
+            FurtherTry::OnFailure => Some(retry(
+                "connect-failure,refused-stream,reset,gateway-error,5xx",
+            )),
+        };
+        Route {
+            name: shape.classes[class].clone(),
+            r#match: Some(RouteMatch {
+                path_specifier: Some(PathSpecifier::Prefix(format!(
+                    "/{}",
+                    names::escape(&shape.classes[class])
+                ))),
+                ..RouteMatch::default()
+            }),
+            action: Some(route::Action::Route(RouteAction {
+                cluster_specifier: Some(route_action::ClusterSpecifier::Cluster(
+                    shape.cluster_name(class),
+                )),
+                retry_policy,
+                ..RouteAction::default()
+            })),
+            ..Route::default()
+        }
+    };
+    let message = RouteConfiguration {
+        name: names::routes(&shape.service),
+        virtual_hosts: vec![VirtualHost {
+            name: names::routes(&shape.service),
+            domains: vec!["*".into()],
+            routes: ways.iter().enumerate().map(route).collect(),
+            ..VirtualHost::default()
+        }],
+        ..RouteConfiguration::default()
+    };
+    packed(&message, None)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn weights_are_whole_on_the_wire_and_never_nothing() {
+        let cases = [
+            (1.0, 10_000),
+            (0.1, 1_000),
+            (0.000_001, 1),
+            (0.000_06, 1),
+            (2.000_04, 20_000),
+            (1e9, 100_000_000),
+        ];
+        for (weight, wanted) in cases {
+            assert_eq!(scaled(weight), wanted, "{weight}");
+        }
+    }
+
+    #[test]
+    fn addresses_survive_the_wire() {
+        for text in ["127.0.0.1:80", "[::1]:9000", "host.example:1"] {
+            assert_eq!(text_of(Some(&address_of(text))).as_deref(), Some(text));
+        }
+        assert_eq!(text_of(None), None);
+    }
+}
--- /dev/null
+++ b/crates/xds/src/status.rs
@@ -0,0 +1,191 @@
+//! Client status (CSDS): what each proxy was sent and has acknowledged, and the controller's own state
+//! as a resource of a node of its own. Written here by the server, read here by `dahliapoint status`.
+
+use crate::front::Front;
+use crate::pb::admin::{ClientResourceStatus, UpdateFailureState};
+use crate::pb::core::Node;
+use crate::pb::protobuf::{Any, ListValue, Struct, Value, value::Kind};
+use crate::pb::status::client_config::GenericXdsConfig;
+use crate::pb::status::{ClientConfig, ClientStatusRequest, ClientStatusResponse, ConfigStatus};
+use dahliapoint_grpc::{Call, Code, Status};
+use prost::Message;
+use serde::Serialize;
+
+/// The node under which the controller tells of itself.
+const ITSELF: &str = "dahliapoint/controller";
+const OVERVIEW: &str = "overview";
+const STRUCT_URL: &str = "type.googleapis.com/google.protobuf.Struct";
+
+pub(crate) fn serve(front: &Front, call: Call, once: bool) {
+    let Call {
+        mut inbound,
+        mut outbound,
+        ..
+    } = call;
+    let status = loop {
+        match inbound.message::<ClientStatusRequest>() {
+            Ok(Some(request)) => {
+                if !request.node_matchers.is_empty() {
+                    let why = "all nodes are told; matchers are not served";
+                    break Status::new(Code::Unimplemented, why);
+                }
+                if let Err(status) = outbound.send(&answer(front)) {
+                    break status;
+                }
+            }
+            Ok(None) => break Status::new(Code::Ok, ""),
+            Err(status) => break status,
+        }
+        if once {
+            break Status::new(Code::Ok, "");
+        }
+    };
+    outbound.finish(&status);
+}
+
+fn answer(front: &Front) -> ClientStatusResponse {
+    let itself = ClientConfig {
+        node: Some(Node {
+            id: ITSELF.into(),
+            ..Node::default()
+        }),
+        generic_xds_configs: vec![GenericXdsConfig {
+            type_url: STRUCT_URL.into(),
+            name: OVERVIEW.into(),
+            xds_config: Some(Any {
+                type_url: STRUCT_URL.into(),
+                value: to_struct(&front.overview()).encode_to_vec(),
+            }),
+            ..GenericXdsConfig::default()
+        }],
+        ..ClientConfig::default()
+    };
+    let client = |stream: std::sync::Arc<crate::front::Stream>| {
+        let rows = stream.session().rows();
+        let configs = rows.into_iter().map(|row| {
+            let (status, told) = match (&row.refusal, row.acked) {
+                (_, true) => (ClientResourceStatus::Acked, ConfigStatus::Synced),
+                (Some(_), _) => (ClientResourceStatus::Nacked, ConfigStatus::Error),
+                (None, _) => (ClientResourceStatus::Requested, ConfigStatus::Stale),
+            };
+            GenericXdsConfig {
+                type_url: row.type_url.into(),
+                name: row.name,
+                version_info: row.version,
+                config_status: told.into(),
+                client_status: status.into(),
+                error_state: row.refusal.map(|details| UpdateFailureState {
+                    details,
+                    ..UpdateFailureState::default()
+                }),
+                ..GenericXdsConfig::default()
+            }
+        });
+        ClientConfig {
+            node: Some(stream.node.clone()),
+            generic_xds_configs: configs.collect(),
+            client_scope: stream.id.to_string(),
+            ..ClientConfig::default()
+        }
+    };
+    let clients = front.streams().into_iter().map(client);
+    ClientStatusResponse {
+        config: std::iter::once(itself).chain(clients).collect(),
+    }
+}
+
+fn to_struct(value: &serde_json::Value) -> Struct {
+    match to_value(value).kind {
+        Some(Kind::StructValue(s)) => s,
+        _ => Struct::default(),
+    }
+}
+
+fn to_value(value: &serde_json::Value) -> Value {
+    use serde_json::Value as V;
+    let kind = match value {
+        V::Null => Kind::NullValue(0),
+        V::Bool(b) => Kind::BoolValue(*b),
+        V::Number(n) => Kind::NumberValue(n.as_f64().unwrap_or(0.0)),
+        V::String(s) => Kind::StringValue(s.clone()),
+        V::Array(a) => Kind::ListValue(ListValue {
+            values: a.iter().map(to_value).collect(),
+        }),
+        V::Object(o) => Kind::StructValue(Struct {
+            fields: o.iter().map(|(k, v)| (k.clone(), to_value(v))).collect(),
+        }),
+    };
+    Value { kind: Some(kind) }
+}
+
+fn from_value(value: &Value) -> serde_json::Value {
+    use serde_json::Value as V;
+    match &value.kind {
+        None | Some(Kind::NullValue(_)) => V::Null,
+        Some(Kind::BoolValue(b)) => V::Bool(*b),
+        Some(Kind::NumberValue(n)) => serde_json::json!(n),
+        Some(Kind::StringValue(s)) => V::String(s.clone()),
+        Some(Kind::ListValue(l)) => V::Array(l.values.iter().map(from_value).collect()),
+        Some(Kind::StructValue(s)) => {
+            let mut fields: Vec<_> = s.fields.iter().collect();
+            fields.sort_by_key(|(name, _)| name.as_str());
+            let fields = fields.into_iter();
+            V::Object(fields.map(|(k, v)| (k.clone(), from_value(v))).collect())
+        }
+    }
+}
+
+/// How a resource stands at a proxy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ResourceState {
+    Acknowledged,
+    Refused,
+    Sent,
+}
+
+/// A resource at a proxy, as status tells it.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct StatusRow {
+    pub proxy: String,
+    pub resource: String,
+    pub version: String,
+    pub state: ResourceState,
+    pub refusal: Option<String>,
+}
+
+/// Reads an answer: the controller's own state, and what each proxy holds.
+pub fn read(answer: &ClientStatusResponse) -> (serde_json::Value, Vec<StatusRow>) {
+    let mut overview = serde_json::Value::Null;
+    let mut rows = Vec::new();
+    for client in &answer.config {
+        let proxy = client
+            .node
+            .as_ref()
+            .map(|n| n.id.clone())
+            .unwrap_or_default();
+        for c in &client.generic_xds_configs {
+            if proxy == ITSELF && c.name == OVERVIEW {
+                let bytes = c.xds_config.as_ref().map(|any| any.value.as_slice());
+                let read = Struct::decode(bytes.unwrap_or_default()).unwrap_or_default();
+                overview = from_value(&Value {
+                    kind: Some(Kind::StructValue(read)),
+                });
+                continue;
+            }
+            let state = match ClientResourceStatus::try_from(c.client_status) {
+                Ok(ClientResourceStatus::Acked) => ResourceState::Acknowledged,
+                Ok(ClientResourceStatus::Nacked) => ResourceState::Refused,
+                _ => ResourceState::Sent,
+            };
+            rows.push(StatusRow {
+                proxy: proxy.clone(),
+                resource: c.name.clone(),
+                version: c.version_info.clone(),
+                state,
+                refusal: c.error_state.as_ref().map(|e| e.details.clone()),
+            });
+        }
+    }
+    (overview, rows)
+}
