The daemon: run, check, status, replay; YAML settings told with all their faults at once

A controller that operators can start. crates/yaml reads YAML by a library into a tree that knows its lines, so that every fault is told at once with file, line, field and what is wanted (exit code 2). crates/daemon wires the parts: a thread that owns the controller and is fed by a bounded queue, the gRPC front, probes, a roster file watched (a broken one is refused and the last good one stands), SIGTERM, status over CSDS, records that can be played again.

--- /dev/null
+++ b/crates/daemon/src/deployment.rs
@@ -0,0 +1,325 @@
+//! The deployment file: what a controller is told about its service. Read whole and checked whole before
+//! anything starts. docs/operators/running.md lists the fields.
+
+use dahliapoint_control::{ClassTerms, FurtherTry, Terms};
+use dahliapoint_xds::{RESPONSES_BY_JOINING, RESPONSES_BY_MESSAGE};
+use dahliapoint_yaml::{At, Faults, read};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// What a repeated visit of a class may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// Nothing: it only reads.
+    Safe,
+    /// Nothing, while servers know its key.
+    Keyed,
+    /// It must never run twice.
+    Never,
+}
+
+/// The form of the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogForm {
+    Text,
+    Json,
+}
+
+/// All of a deployment file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Deployment {
+    pub terms: Terms,
+    /// By class.
+    pub repeats: Vec<Repeat>,
+    pub hard_limits_ms: Vec<f64>,
+    pub connect_ms: f64,
+    pub roster: PathBuf,
+    pub roster_every_ms: f64,
+    pub probe_path: String,
+    pub probe_within_ms: f64,
+    pub listen: SocketAddr,
+    pub log_form: LogForm,
+    pub log_level: String,
+    /// Where chance starts; drawn from the clock if not given.
+    pub seed: Option<u64>,
+    /// A proxy's connection is given up after this long without an answer to a ping.
+    pub stream_patience_ms: f64,
+}
+
+/// Reads a deployment; paths in it are taken from the folder of the file.
+///
+/// # Errors
+/// All that is wrong with it, with lines.
+pub fn parse(file: &str, text: &str) -> Result<Deployment, Faults> {
+    let folder = Path::new(file)
+        .parent()
+        .unwrap_or(Path::new(""))
+        .to_path_buf();
+    read(file, text, |at| deployment(at, &folder))
+}
+
+fn deployment(at: &At, folder: &Path) -> Deployment {
+    let service = at.field("service").text(None);
+    let zones = names(&at.field("zones"), "zone");
+    let (classes, repeats, hard_limits_ms) = classes(&at.field("classes"));
+
+    let proxies = at.field("proxies");
+    let tries = proxies.field("further_try");
+    let usual_tries = tries.choice(
+        &[
+            ("never", FurtherTry::Never),
+            ("on_proof", FurtherTry::OnProof),
+            ("on_failure", FurtherTry::OnFailure),
+        ],
+        Some(FurtherTry::OnProof),
+    );
+    if usual_tries == FurtherTry::OnFailure && repeats.contains(&Repeat::Never) {
+        tries.wrong("never or on_proof is wanted: a class here must never run twice");
+    }
+    let shares = proxies.field("refuse");
+    let shares = shares.choice(&[("share", true), ("nothing", false)], Some(false));
+    let idle_ms = proxies.field("idle").time(1.0..=3.6e6, Some(15_000.0));
+    let standing_lines = proxies.field("standing").number(0.0..=10_000.0, Some(10.0));
+    let usual_pace = proxies.field("usual_pace").number(0.0..=1e6, Some(0.0));
+    let connect_ms = proxies.field("connect").time(1.0..=60_000.0, Some(250.0));
+    let patience = proxies
+        .field("patience")
+        .time(100.0..=600_000.0, Some(4_000.0));
+    proxies.close();
+
+    let channel = at.field("channel");
+    let most_waiting = channel
+        .field("most_waiting")
+        .number(10.0..=1e9, Some(20_000.0));
+    let lines_per_s = channel
+        .field("lines_per_s")
+        .number(1.0..=1e9, Some(15_000.0));
+    let way_ms = channel.field("way").time(0.0..=60_000.0, Some(50.0));
+    let message_lines = channel
+        .field("message_lines")
+        .number(0.0..=1000.0, Some(3.0));
+    let most = channel.field("most_messages");
+    let most_messages = most.number(0.0..=1e6, Some(0.0));
+    let least = RESPONSES_BY_JOINING + 4.0 * RESPONSES_BY_MESSAGE;
+    if most_messages > 0.0 && most_messages < least {
+        most.wrong(format!(
+            "0 for no limit, or at least {least}: a joining takes {RESPONSES_BY_JOINING}"
+        ));
+    }
+    let message_span_ms = channel.field("within").time(1.0..=3.6e6, Some(10_000.0));
+    channel.close();
+
+    let reports = at.field("reports");
+    let report_every_ms = reports.field("every").time(50.0..=60_000.0, Some(1_000.0));
+    let reports_per_s = reports
+        .field("lines_per_s")
+        .number(1.0..=1e9, Some(100_000.0));
+    reports.close();
+
+    let cold = at.field("cold");
+    let cold_share = cold.field("share").number(0.001..=1.0, Some(0.15));
+    let warm_after_ms = cold.field("warm_after").time(0.0..=3.6e6, Some(18_000.0));
+    let fall_multiple = cold.field("falls_at").number(1.0..=1000.0, Some(3.0));
+    cold.close();
+
+    let drains = at.field("drains");
+    let grace_ms = drains.field("grace").time(1.0..=3.6e6, Some(3_000.0));
+    let dropped_may_stay = drains.field("dropped_may_stay").flag(Some(false));
+    drains.close();
+
+    let roster = at.field("roster");
+    let roster_file = roster.field("file").text(None);
+    let roster_every_ms = roster.field("every").time(10.0..=60_000.0, Some(200.0));
+    let probe = roster.field("probe");
+    let may_probe = probe.is_there();
+    let probe_path = probe.field("path").text(Some("/"));
+    if !probe_path.starts_with('/') || probe_path.contains(|c: char| c <= ' ' || c > '~') {
+        probe
+            .field("path")
+            .wrong("a path that begins with / is wanted");
+    }
+    let probe_within_ms = probe.field("within").time(1.0..=60_000.0, Some(1_000.0));
+    probe.close();
+    roster.close();
+
+    let listen = at.field("listen");
+    let wanted = "an address such as 127.0.0.1:18000";
+    let address = listen.field("xds").parsed(wanted, None, |t| t.parse().ok());
+    listen.close();
+
+    let log = at.field("log");
+    let forms = [("text", LogForm::Text), ("json", LogForm::Json)];
+    let log_form = log.field("form").choice(&forms, Some(LogForm::Text));
+    let levels = ["error", "warn", "info", "debug", "trace"].map(|l| (l, l));
+    let log_level = log.field("level").choice(&levels, Some("info")).to_string();
+    log.close();
+
+    let seed = at.field("seed");
+    let seed = seed
+        .is_there()
+        .then(|| seed.number(0.0..=9e15, None) as u64);
+    at.close();
+
+    Deployment {
+        terms: Terms {
+            service,
+            zones,
+            classes,
+            shares,
+            most_waiting,
+            lines_per_s,
+            way_ms,
+            message_lines,
+            most_messages,
+            message_span_ms,
+            writes_by_message: RESPONSES_BY_MESSAGE,
+            writes_by_joining: RESPONSES_BY_JOINING,
+            idle_ms,
+            standing_lines,
+            usual_pace,
+            report_every_ms,
+            reports_per_s,
+            cold_share,
+            warm_after_ms,
+            fall_multiple,
+            grace_ms,
+            dropped_may_stay,
+            usual_tries,
+            may_probe,
+        },
+        repeats,
+        hard_limits_ms,
+        connect_ms,
+        roster: folder.join(roster_file),
+        roster_every_ms,
+        probe_path,
+        probe_within_ms,
+        listen: address.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0))),
+        log_form,
+        log_level,
+        seed,
+        stream_patience_ms: patience,
+    }
+}
+
+/// Names, at least one, each once.
+fn names(at: &At, what: &str) -> Vec<String> {
+    let mut seen = BTreeSet::new();
+    let mut names = Vec::new();
+    for place in at.list() {
+        let name = place.text(None);
+        if !seen.insert(name.clone()) {
+            place.wrong(format!("{name:?} is named twice"));
+        }
+        names.push(name);
+    }
+    if names.is_empty() {
+        at.wrong(format!("at least one {what} is wanted"));
+    }
+    names
+}
+
+fn classes(at: &At) -> (Vec<ClassTerms>, Vec<Repeat>, Vec<f64>) {
+    let (mut classes, mut repeats, mut limits) = (Vec::new(), Vec::new(), Vec::new());
+    let mut seen = BTreeSet::new();
+    for place in at.list() {
+        let name = place.field("name").text(None);
+        if !seen.insert(name.clone()) {
+            place
+                .field("name")
+                .wrong(format!("{name:?} is named twice"));
+        }
+        let soft = place.field("soft_limit").time(1.0..=3.6e6, None);
+        let hard = place.field("hard_limit");
+        let hard_ms = hard.time(1.0..=3.6e6, Some(soft * 3.0));
+        if hard_ms < soft {
+            hard.wrong("a time no shorter than the soft limit is wanted");
+        }
+        classes.push(ClassTerms {
+            name,
+            soft_limit_ms: soft,
+            earnings: place.field("earnings").number(0.001..=1e6, Some(1.0)),
+        });
+        repeats.push(place.field("repeat").choice(
+            &[
+                ("safe", Repeat::Safe),
+                ("keyed", Repeat::Keyed),
+                ("never", Repeat::Never),
+            ],
+            Some(Repeat::Never),
+        ));
+        limits.push(hard_ms);
+        place.close();
+    }
+    if classes.is_empty() {
+        at.wrong("at least one class is wanted");
+    }
+    (classes, repeats, limits)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SMALL: &str = "service: s\nzones: [a]\nclasses: [{name: c, soft_limit: 1s}]\n\
+        roster: {file: r.yaml}\nlisten: {xds: '127.0.0.1:0'}\n";
+
+    #[test]
+    fn a_small_deployment_has_its_defaults() {
+        let d = parse("conf/d.yaml", SMALL).unwrap();
+        assert_eq!(d.roster, PathBuf::from("conf/r.yaml"));
+        assert_eq!(
+            d.repeats,
+            [Repeat::Never],
+            "nothing is repeated unless it is said"
+        );
+        assert_eq!(d.hard_limits_ms, [3000.0]);
+        assert!(!d.terms.may_probe);
+    }
+
+    #[test]
+    fn what_contradicts_itself_is_refused_with_its_line() {
+        let cases = [
+            ("zones: [a]", "zones: [a, a]", 2, "zones[1]"),
+            ("zones: [a]", "zones: []", 2, "zones"),
+            (
+                "soft_limit: 1s",
+                "soft_limit: 1s, hard_limit: 900ms",
+                3,
+                "classes[0].hard_limit",
+            ),
+            (
+                "soft_limit: 1s",
+                "soft_limit: 1s, repeat: maybe",
+                3,
+                "classes[0].repeat",
+            ),
+            ("127.0.0.1:0", "localhost", 5, "listen.xds"),
+            (
+                "service: s",
+                "proxies: {further_try: on_failure}\nservice: s",
+                1,
+                "proxies.further_try",
+            ),
+            (
+                "service: s",
+                "channel: {most_messages: 5}\nservice: s",
+                1,
+                "channel.most_messages",
+            ),
+            (
+                "r.yaml}",
+                "r.yaml, probe: {path: 'x y'}}",
+                4,
+                "roster.probe.path",
+            ),
+        ];
+        for (from, to, line, field) in cases {
+            let text = SMALL.replace(from, to);
+            let faults = parse("d.yaml", &text).unwrap_err();
+            let found = faults.0.iter().any(|f| f.line == line && f.field == field);
+            assert!(found, "{to}: {faults}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,10 @@
+//! The controller as a program. [`deployment`] and [`roster`] read what operators write, [`engine`] owns
+//! the controller, [`life`] wires it to its fronts and ends it; nothing here decides.
+
+pub mod deployment;
+pub mod engine;
+pub mod life;
+pub mod probe;
+pub mod roster;
+pub mod sample;
+pub mod status;
--- /dev/null
+++ b/crates/daemon/src/life.rs
@@ -0,0 +1,157 @@
+//! The life of a daemon: its parts wired, started and ended in order.
+
+use crate::deployment::Deployment;
+use crate::engine::{Clock, Engine};
+use crate::probe::Prober;
+use crate::roster::{Look, Watch};
+use dahliapoint_control::{Entry, Input, Output};
+use dahliapoint_grpc::{Limits, Server};
+use dahliapoint_xds::{Front, Owner, Shape};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tracing::{error, info, warn};
+
+/// Where the servers come from.
+pub enum Source {
+    /// The deployment's roster file, watched.
+    File,
+    /// These, for good.
+    Fixed(Vec<Entry>),
+}
+
+/// A running controller.
+pub struct Daemon {
+    server: Server,
+    front: Arc<Front>,
+    engine: Engine,
+    owner: JoinHandle<()>,
+    ending: Arc<AtomicBool>,
+    watcher: Option<JoinHandle<()>>,
+}
+
+impl Daemon {
+    /// Starts all parts; the roster must be good at the start.
+    ///
+    /// # Errors
+    /// What is wrong, in words for an operator.
+    pub fn start(
+        deployment: &Deployment,
+        source: Source,
+        record: Option<PathBuf>,
+    ) -> Result<Daemon, String> {
+        let terms = deployment.terms.clone();
+        let mut watch = Watch::new(&deployment.roster, &terms.zones);
+        let (entries, watched) = match source {
+            Source::Fixed(entries) => (entries, false),
+            Source::File => match watch.look() {
+                Look::New(entries) => (entries, true),
+                Look::Refused(why) => return Err(why),
+                Look::Same => return Err("the roster was not read".into()),
+            },
+        };
+        let clock = Clock::start();
+        let seed = deployment.seed.unwrap_or_else(|| {
+            let now = SystemTime::now().duration_since(UNIX_EPOCH);
+            now.map_or(1, |d| d.as_nanos() as u64)
+        });
+        let engine = Engine::new();
+        let shared: Arc<dyn Owner> = Arc::new(engine.clone());
+        let shape = Shape::of(&terms, deployment.connect_ms);
+        let front = Front::new(shape, terms.report_every_ms, shared.clone(), 1);
+        let patience = Duration::from_secs_f64(deployment.stream_patience_ms / 1e3);
+        let limits = Limits {
+            patience,
+            keepalive: patience / 2,
+            ..Limits::default()
+        };
+        let server = Server::start(deployment.listen, limits, front.clone())
+            .map_err(|e| format!("cannot listen on {}: {e}", deployment.listen))?;
+        let prober = Prober::new(&deployment.probe_path, deployment.probe_within_ms, shared);
+        let hand = {
+            let front = front.clone();
+            Box::new(move |output| match output {
+                Output::Probe { server, address } => {
+                    prober.send(server, &address);
+                    None
+                }
+                other => front.carry_out(other),
+            })
+        };
+        let servers = entries.len();
+        let first = vec![Input::Roster(entries)];
+        let owner = engine
+            .run(clock, seed, terms, record.as_deref(), first, hand)
+            .map_err(|e| format!("the controller cannot start: {e}"))?;
+        let ending = Arc::new(AtomicBool::new(false));
+        let every = Duration::from_secs_f64(deployment.roster_every_ms / 1e3);
+        let watcher = watched.then(|| watching(watch, every, engine.clone(), ending.clone()));
+        info!(xds = %server.address(), servers, service = %deployment.terms.service, "running");
+        Ok(Daemon {
+            server,
+            front,
+            engine,
+            owner,
+            ending,
+            watcher: watcher.flatten(),
+        })
+    }
+
+    /// Where proxies connect.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    pub fn engine(&self) -> &Engine {
+        &self.engine
+    }
+
+    /// Ends orderly: streams are told to go elsewhere, what waits is decided, then all is closed. Tells
+    /// whether every connection had ended in time.
+    pub fn end(self, within: Duration) -> bool {
+        self.ending.store(true, Ordering::SeqCst);
+        self.front.end();
+        let all = self.server.end(Instant::now() + within);
+        self.engine.close();
+        let _ = self.owner.join();
+        if let Some(watcher) = self.watcher {
+            let _ = watcher.join();
+        }
+        info!(all_streams_ended = all, "ended");
+        all
+    }
+}
+
+fn watching(
+    mut watch: Watch,
+    every: Duration,
+    engine: Engine,
+    ending: Arc<AtomicBool>,
+) -> Option<JoinHandle<()>> {
+    let look = move || {
+        while !ending.load(Ordering::SeqCst) {
+            std::thread::sleep(every);
+            match watch.look() {
+                Look::Same => {}
+                Look::New(entries) => {
+                    info!(servers = entries.len(), "a new roster is taken");
+                    engine.roster_fault(None);
+                    engine.put(Input::Roster(entries));
+                }
+                Look::Refused(why) => {
+                    warn!("the roster is refused, the last good one stands: {why}");
+                    engine.roster_fault(Some(why));
+                }
+            }
+        }
+    };
+    let started = std::thread::Builder::new()
+        .name("roster".into())
+        .spawn(look);
+    started
+        .map_err(|e| error!(error = %e, "the roster cannot be watched"))
+        .ok()
+}
--- /dev/null
+++ b/crates/daemon/src/status.rs
@@ -0,0 +1,103 @@
+//! `dahliapoint status`: asks a controller by CSDS, tells it as a table or as JSON.
+
+use dahliapoint_grpc::{Limits, Link, Status};
+use dahliapoint_xds::pb::status::{ClientStatusRequest, ClientStatusResponse};
+use dahliapoint_xds::{ResourceState, StatusRow, read_status};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const FETCH: &str = "/envoy.service.status.v3.ClientStatusDiscoveryService/FetchClientStatus";
+
+/// Asks a controller.
+///
+/// # Errors
+/// The call's status.
+pub fn fetch(at: SocketAddr) -> Result<(Value, Vec<StatusRow>), Status> {
+    let limits = Limits {
+        message: 256 << 20,
+        ..Limits::default()
+    };
+    let link = Link::dial(at, limits)?;
+    let asked = ClientStatusRequest::default();
+    let answer: ClientStatusResponse = link.ask(FETCH, &asked, Duration::from_secs(10))?;
+    Ok(read_status(&answer))
+}
+
+/// Everything, for a program.
+pub fn as_json(overview: &Value, rows: &[StatusRow]) -> Value {
+    json!({"controller": overview, "resources": rows})
+}
+
+/// The main things, for a person.
+pub fn as_table(overview: &Value, rows: &[StatusRow]) -> String {
+    let mut out = String::new();
+    let text = |v: &Value| match v {
+        Value::String(s) => s.clone(),
+        Value::Null => "-".into(),
+        Value::Number(n) => n
+            .as_f64()
+            .map_or_else(|| n.to_string(), |f| format!("{}", (f * 1e4).round() / 1e4)),
+        other => other.to_string(),
+    };
+    let _ = writeln!(out, "service {}", text(&overview["service"]));
+    if let Some(fault) = overview["roster_fault"].as_str() {
+        let _ = writeln!(out, "ROSTER REFUSED, the last good one stands: {fault}");
+    }
+    let list = |v: &Value| v.as_array().cloned().unwrap_or_default();
+    let _ = writeln!(
+        out,
+        "\n{:<24} {:<22} {:<10} {:<9} {:>7} {:>5} {:>9}  note",
+        "server", "address", "zone", "state", "listed", "part", "line"
+    );
+    for s in list(&overview["servers"]) {
+        let note = if s["shut"] == json!(true) {
+            "withdrawn"
+        } else {
+            ""
+        };
+        let _ = writeln!(
+            out,
+            "{:<24} {:<22} {:<10} {:<9} {:>7} {:>5} {:>9}  {note}",
+            text(&s["name"]),
+            text(&s["address"]),
+            text(&s["zone"]),
+            text(&s["state"]).to_lowercase(),
+            text(&s["listed_weight"]),
+            text(&s["part"]),
+            text(&s["weight"]),
+        );
+    }
+    let mut held: BTreeMap<&str, [usize; 3]> = BTreeMap::new();
+    for row in rows {
+        let at = match row.state {
+            ResourceState::Acknowledged => 0,
+            ResourceState::Sent => 1,
+            ResourceState::Refused => 2,
+        };
+        held.entry(&row.proxy).or_default()[at] += 1;
+    }
+    let _ = writeln!(
+        out,
+        "\n{:<24} {:<10} {:>5} {:>10} {:>6} {:>8} {:>10}  refusal",
+        "proxy", "zone", "part", "holds", "sent", "refused", "unanswered"
+    );
+    for p in list(&overview["proxies"]) {
+        let name = text(&p["name"]);
+        let [acked, sent, refused] = held.get(name.as_str()).copied().unwrap_or_default();
+        let _ = writeln!(
+            out,
+            "{name:<24} {:<10} {:>5} {acked:>10} {sent:>6} {refused:>8} {:>10}  {}",
+            text(&p["zone"]),
+            text(&p["part"]),
+            text(&p["unanswered"]),
+            text(&p["refusal"]),
+        );
+    }
+    let _ = writeln!(out, "\nclass ways: {}", overview["ways"]);
+    let _ = writeln!(out, "channel: {}", overview["accounts"]);
+    let _ = writeln!(out, "decisions: {}", overview["deciding"]);
+    out
+}
--- a/crates/xds/src/status.rs
+++ b/crates/xds/src/status.rs
@@ -123,6 +123,10 @@
     match &value.kind {
         None | Some(Kind::NullValue(_)) => V::Null,
         Some(Kind::BoolValue(b)) => V::Bool(*b),
+        // Counts go over the wire as doubles, and are whole again here.
+        Some(Kind::NumberValue(n)) if n.fract() == 0.0 && n.abs() < 9e15 => {
+            serde_json::json!(*n as i64)
+        }
         Some(Kind::NumberValue(n)) => serde_json::json!(n),
         Some(Kind::StringValue(s)) => V::String(s.clone()),
         Some(Kind::ListValue(l)) => V::Array(l.values.iter().map(from_value).collect()),
--- /dev/null
+++ b/crates/yaml/src/lib.rs
@@ -0,0 +1,479 @@
+//! YAML as the project's programs read it: parsed by a library into a tree that knows its lines, then
+//! read field by field. Every fault is noted with file, line, field and what is wanted, and all of them
+//! are told at once; a field that nobody reads is a fault too.
+
+use serde::de::{Deserialize, Deserializer, MapAccess, SeqAccess, Visitor};
+use serde_saphyr::Spanned;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::fmt;
+use std::ops::RangeInclusive;
+
+/// Bytes that a file may have: it is read at once.
+const MOST_BYTES: usize = 16 << 20;
+
+/// One thing that is wrong.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Fault {
+    pub file: String,
+    pub line: u64,
+    pub field: String,
+    pub wanted: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Fault {
+            file,
+            line,
+            field,
+            wanted,
+        } = self;
+        match field.is_empty() {
+            true => write!(f, "{file}:{line}: {wanted}"),
+            false => write!(f, "{file}:{line}: {field}: {wanted}"),
+        }
+    }
+}
+
+/// All that is wrong, in the order of lines; a line of text each.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Faults(pub Vec<Fault>);
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines: Vec<String> = self.0.iter().map(Fault::to_string).collect();
+        f.write_str(&lines.join("\n"))
+    }
+}
+
+impl std::error::Error for Faults {}
+
+#[derive(Clone, Debug)]
+enum Tree {
+    Nothing,
+    Flag(bool),
+    Number(f64),
+    Text(String),
+    List(Vec<Node>),
+    Map(Vec<(Node, Node)>),
+}
+
+#[derive(Clone, Debug)]
+struct Node {
+    line: u64,
+    tree: Tree,
+}
+
+impl<'de> Deserialize<'de> for Node {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Node, D::Error> {
+        let spanned = Spanned::<Tree>::deserialize(from)?;
+        Ok(Node {
+            line: spanned.referenced.line(),
+            tree: spanned.value,
+        })
+    }
+}
+
+struct Any;
+
+impl<'de> Visitor<'de> for Any {
+    type Value = Tree;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a value")
+    }
+
+    fn visit_bool<E>(self, v: bool) -> Result<Tree, E> {
+        Ok(Tree::Flag(v))
+    }
+
+    fn visit_i64<E>(self, v: i64) -> Result<Tree, E> {
+        Ok(Tree::Number(v as f64))
+    }
+
+    fn visit_u64<E>(self, v: u64) -> Result<Tree, E> {
+        Ok(Tree::Number(v as f64))
+    }
+
+    fn visit_f64<E>(self, v: f64) -> Result<Tree, E> {
+        Ok(Tree::Number(v))
+    }
+
+    fn visit_str<E>(self, v: &str) -> Result<Tree, E> {
+        Ok(Tree::Text(v.to_string()))
+    }
+
+    fn visit_unit<E>(self) -> Result<Tree, E> {
+        Ok(Tree::Nothing)
+    }
+
+    fn visit_none<E>(self) -> Result<Tree, E> {
+        Ok(Tree::Nothing)
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Tree, A::Error> {
+        let mut list = Vec::new();
+        while let Some(node) = seq.next_element()? {
+            list.push(node);
+        }
+        Ok(Tree::List(list))
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Tree, A::Error> {
+        let mut pairs = Vec::new();
+        while let Some(key) = map.next_key()? {
+            pairs.push((key, map.next_value()?));
+        }
+        Ok(Tree::Map(pairs))
+    }
+}
+
+impl<'de> Deserialize<'de> for Tree {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Tree, D::Error> {
+        from.deserialize_any(Any)
+    }
+}
+
+/// Reads a text with a reader of its fields.
+///
+/// # Errors
+/// All faults: of the text as YAML, or those that the reader noted.
+pub fn read<T>(file: &str, text: &str, reader: impl FnOnce(&At) -> T) -> Result<T, Faults> {
+    let alone = |line, wanted: String| {
+        Faults(vec![Fault {
+            file: file.to_string(),
+            line,
+            field: String::new(),
+            wanted,
+        }])
+    };
+    if text.len() > MOST_BYTES {
+        return Err(alone(1, format!("a file of at most {MOST_BYTES} bytes")));
+    }
+    // As YAML 1.2 has it: a server may be called `y` or `on`.
+    let words = serde_saphyr::options! { strict_booleans: true };
+    let root: Node = serde_saphyr::from_str_with_options(text, words).map_err(|e| {
+        let line = e.location().map_or(1, |l| l.line());
+        let said = e.to_string();
+        let said = said.lines().next().unwrap_or("not YAML").to_string();
+        alone(line, said)
+    })?;
+    let faults = RefCell::new(Vec::new());
+    let out = reader(&At {
+        file,
+        faults: &faults,
+        node: Some(&root),
+        line: root.line,
+        path: String::new(),
+        read: RefCell::default(),
+    });
+    let mut faults = faults.into_inner();
+    if faults.is_empty() {
+        return Ok(out);
+    }
+    faults.sort();
+    faults.dedup();
+    faults.sort_by_key(|f| f.line);
+    Err(Faults(faults))
+}
+
+/// A place in the tree; a missing field is a place too, so that readers need not ask.
+pub struct At<'a> {
+    file: &'a str,
+    faults: &'a RefCell<Vec<Fault>>,
+    node: Option<&'a Node>,
+    line: u64,
+    path: String,
+    read: RefCell<BTreeSet<String>>,
+}
+
+impl<'a> At<'a> {
+    /// Notes a fault here.
+    pub fn wrong(&self, wanted: impl Into<String>) {
+        self.faults.borrow_mut().push(Fault {
+            file: self.file.to_string(),
+            line: self.line,
+            field: self.path.clone(),
+            wanted: wanted.into(),
+        });
+    }
+
+    /// Whether anything stands here.
+    pub fn is_there(&self) -> bool {
+        self.node.is_some_and(|n| !matches!(n.tree, Tree::Nothing))
+    }
+
+    fn tree(&self) -> Option<&'a Tree> {
+        let there = self.node.map(|n| &n.tree);
+        there.filter(|t| !matches!(t, Tree::Nothing))
+    }
+
+    /// The place of a field; the fields read are the ones allowed (see [`At::close`]).
+    pub fn field(&self, name: &str) -> At<'a> {
+        self.read.borrow_mut().insert(name.to_string());
+        let found = match self.tree() {
+            Some(Tree::Map(pairs)) => {
+                let named = |n: &Node| matches!(&n.tree, Tree::Text(t) if t == name);
+                pairs.iter().find(|(k, _)| named(k)).map(|(_, v)| v)
+            }
+            _ => None,
+        };
+        At {
+            file: self.file,
+            faults: self.faults,
+            node: found,
+            line: found.map_or(self.line, |n| n.line),
+            path: match self.path.is_empty() {
+                true => name.to_string(),
+                false => format!("{}.{name}", self.path),
+            },
+            read: RefCell::default(),
+        }
+    }
+
+    /// To be called when all fields of a map were read: others are faults, and so is anything but a map.
+    pub fn close(&self) {
+        let read = self.read.borrow();
+        match self.tree() {
+            None => {}
+            Some(Tree::Map(pairs)) => {
+                for (key, _) in pairs {
+                    let name = match &key.tree {
+                        Tree::Text(t) => t.clone(),
+                        other => format!("{other:?}"),
+                    };
+                    if !read.contains(&name) {
+                        let known: Vec<&str> = read.iter().map(String::as_str).collect();
+                        let field = match self.path.is_empty() {
+                            true => name,
+                            false => format!("{}.{name}", self.path),
+                        };
+                        self.faults.borrow_mut().push(Fault {
+                            file: self.file.to_string(),
+                            line: key.line,
+                            field,
+                            wanted: format!("no such field; there are {}", known.join(", ")),
+                        });
+                    }
+                }
+            }
+            Some(_) => self.wrong("fields are wanted here"),
+        }
+    }
+
+    fn get<T>(
+        &self,
+        usual: Option<T>,
+        wanted: &str,
+        read: impl Fn(&Tree) -> Option<T>,
+    ) -> Option<T> {
+        match (self.tree(), usual) {
+            (None, Some(usual)) => Some(usual),
+            (None, None) => {
+                self.wrong(format!("{wanted} is wanted; nothing is there"));
+                None
+            }
+            (Some(tree), usual) => read(tree).or_else(|| {
+                self.wrong(format!("{wanted} is wanted"));
+                usual
+            }),
+        }
+    }
+
+    /// A number within a range; the usual one where nothing stands, if there is a usual one.
+    pub fn number(&self, range: RangeInclusive<f64>, usual: Option<f64>) -> f64 {
+        let (low, high) = (range.start(), range.end());
+        let wanted = match high.is_finite() {
+            true => format!("a number from {low} to {high}"),
+            false => format!("a number from {low} up"),
+        };
+        let read = |t: &Tree| match t {
+            Tree::Number(n) if n.is_finite() && range.contains(n) => Some(*n),
+            _ => None,
+        };
+        self.get(usual, &wanted, read).unwrap_or(*low)
+    }
+
+    /// A time in milliseconds, written with its unit.
+    pub fn time(&self, range_ms: RangeInclusive<f64>, usual_ms: Option<f64>) -> f64 {
+        let (low, high) = (range_ms.start(), range_ms.end());
+        let wanted = format!("a time such as 250ms, 2s or 1m, from {low}ms to {high}ms");
+        let read = |t: &Tree| match t {
+            Tree::Text(text) => time_of(text).filter(|ms| range_ms.contains(ms)),
+            _ => None,
+        };
+        self.get(usual_ms, &wanted, read).unwrap_or(*low)
+    }
+
+    pub fn flag(&self, usual: Option<bool>) -> bool {
+        let read = |t: &Tree| match t {
+            Tree::Flag(b) => Some(*b),
+            _ => None,
+        };
+        self.get(usual, "true or false", read).unwrap_or(false)
+    }
+
+    /// A text that is not empty; numbers are taken as they are written.
+    pub fn text(&self, usual: Option<&str>) -> String {
+        let read = |t: &Tree| match t {
+            Tree::Text(text) if !text.is_empty() => Some(text.clone()),
+            Tree::Number(n) => Some(n.to_string()),
+            _ => None,
+        };
+        let usual = usual.map(str::to_string);
+        self.get(usual, "a text", read).unwrap_or_default()
+    }
+
+    /// One of some words.
+    pub fn choice<T: Copy>(&self, words: &[(&str, T)], usual: Option<T>) -> T {
+        let names: Vec<&str> = words.iter().map(|w| w.0).collect();
+        let wanted = format!("one of {}", names.join(", "));
+        let read = |t: &Tree| match t {
+            Tree::Text(text) => words.iter().find(|w| w.0 == text).map(|w| w.1),
+            _ => None,
+        };
+        self.get(usual, &wanted, read).unwrap_or(words[0].1)
+    }
+
+    /// A text that a function can read.
+    pub fn parsed<T>(
+        &self,
+        wanted: &str,
+        usual: Option<T>,
+        read: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        self.get(usual, wanted, |t| match t {
+            Tree::Text(text) => read(text),
+            _ => None,
+        })
+    }
+
+    /// The elements of a list; none where nothing stands.
+    pub fn list(&self) -> Vec<At<'a>> {
+        match self.tree() {
+            None => Vec::new(),
+            Some(Tree::List(nodes)) => {
+                let place = |(i, node): (usize, &'a Node)| At {
+                    file: self.file,
+                    faults: self.faults,
+                    node: Some(node),
+                    line: node.line,
+                    path: format!("{}[{i}]", self.path),
+                    read: RefCell::default(),
+                };
+                nodes.iter().enumerate().map(place).collect()
+            }
+            Some(_) => {
+                self.wrong("a list is wanted");
+                Vec::new()
+            }
+        }
+    }
+
+    /// The line that this stands in.
+    pub fn line(&self) -> u64 {
+        self.line
+    }
+}
+
+/// A time in milliseconds from a number and its unit.
+pub fn time_of(text: &str) -> Option<f64> {
+    let text = text.trim();
+    let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
+    let number: f64 = digits.trim_end().parse().ok()?;
+    let unit = match &text[digits.len()..] {
+        "us" => 1e-3,
+        "ms" => 1.0,
+        "s" => 1e3,
+        "m" => 6e4,
+        "h" => 3.6e6,
+        _ => return None,
+    };
+    (number.is_finite() && number >= 0.0).then_some(number * unit)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn sample(at: &At) -> (f64, f64, String, Vec<String>) {
+        let inner = at.field("channel");
+        let lines = inner.field("lines").number(1.0..=100.0, None);
+        let way = inner.field("way").time(0.0..=1e4, Some(200.0));
+        inner.close();
+        let name = at.field("name").text(None);
+        let zones = at.field("zones").list();
+        let zones = zones.iter().map(|z| z.text(None)).collect();
+        at.close();
+        (lines, way, name, zones)
+    }
+
+    #[test]
+    fn what_is_written_is_read() {
+        let text = "name: portal\nzones: [a, b]\nchannel:\n  lines: 7\n  way: 1.5s\n";
+        let zones = vec!["a".to_string(), "b".to_string()];
+        let wanted = (7.0, 1500.0, "portal".to_string(), zones);
+        assert_eq!(read("f", text, sample), Ok(wanted));
+        assert_eq!(
+            read("f", "name: p\nchannel: {lines: 1}", sample).unwrap().1,
+            200.0
+        );
+    }
+
+    #[test]
+    fn all_faults_are_told_at_once_with_their_lines() {
+        let text = "nam: portal\nzones: x\nchannel:\n  lines: 700\n  way: 15\n  more: 1\n";
+        let faults = read("f.yaml", text, sample).unwrap_err();
+        let told: Vec<(u64, &str)> = faults
+            .0
+            .iter()
+            .map(|f| (f.line, f.field.as_str()))
+            .collect();
+        let wanted = [
+            (1, "nam"),
+            (1, "name"),
+            (2, "zones"),
+            (4, "channel.lines"),
+            (5, "channel.way"),
+            (6, "channel.more"),
+        ];
+        assert_eq!(told, wanted);
+        let said = faults.to_string();
+        assert!(said.contains("f.yaml:4: channel.lines: a number from 1 to 100 is wanted"));
+    }
+
+    #[test]
+    fn what_is_no_yaml_is_one_fault() {
+        let cases = [
+            "a: [1",
+            "a: 1\n b: 2\n  - c",
+            "a: 1\na: 2\n",
+            "\t- x: y: z",
+            "&a [*a]",
+        ];
+        for text in cases {
+            let faults = read("f", text, |at| at.field("a").list().len());
+            assert!(faults.is_err(), "{text:?}");
+        }
+        assert!(read("f", &"x".repeat(MOST_BYTES + 1), |_| ()).is_err());
+    }
+
+    #[test]
+    fn times_have_units() {
+        let cases = [
+            ("250ms", Some(250.0)),
+            ("2 s", Some(2000.0)),
+            ("1.5m", Some(90_000.0)),
+            ("40us", Some(0.04)),
+            ("5", None),
+            ("-1s", None),
+            ("s", None),
+            ("1 year", None),
+            ("infs", None),
+        ];
+        for (text, wanted) in cases {
+            assert_eq!(time_of(text), wanted, "{text}");
+        }
+    }
+}
