--- /dev/null
+++ b/crates/daemon/src/cli.rs
@@ -0,0 +1,202 @@
+//! The command line: runs a controller, checks its files, asks one for its state, plays a record again.
+
+use crate::deployment::{self, Deployment, LogForm};
+use crate::life::{Daemon, Source};
+use crate::{roster, sample, status};
+use clap::{Parser, Subcommand};
+use dahliapoint_control::record::{End, bytes_of, replay};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::ffi::OsString;
+use std::fs::File;
+use std::io::{BufReader, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+use tracing_subscriber::EnvFilter;
+
+/// A control service that hands weights to plain proxies.
+#[derive(Parser)]
+#[command(name = "dahliapoint", version)]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a controller; without a file, the embedded sample on loopback.
+    Run {
+        file: Option<PathBuf>,
+        /// Write every input down, to be played again.
+        #[arg(long)]
+        record: Option<PathBuf>,
+        /// Listen here instead of where the file says (port 0: one that the system picks).
+        #[arg(long)]
+        listen: Option<SocketAddr>,
+        /// Write the address that is listened on to this file.
+        #[arg(long)]
+        address_file: Option<PathBuf>,
+    },
+    /// Check a deployment file and its roster; tells all that is wrong.
+    Check { file: PathBuf },
+    /// Ask a running controller for its state.
+    Status {
+        #[arg(long, default_value = "127.0.0.1:18000")]
+        at: SocketAddr,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Play a record again: what was ordered, and the sum of it.
+    Replay {
+        file: PathBuf,
+        /// Only the sum.
+        #[arg(long)]
+        quiet: bool,
+    },
+}
+
+const WRONG: u8 = 2;
+
+/// Runs a command line, the program's name first; tells the exit code.
+pub fn main(line: impl Iterator<Item = OsString>) -> ExitCode {
+    let done = match Line::parse_from(line).command {
+        Command::Run {
+            file,
+            record,
+            listen,
+            address_file,
+        } => run(file.as_deref(), record, listen, address_file.as_deref()),
+        Command::Check { file } => check(&file),
+        Command::Status { at, json } => ask(at, json),
+        Command::Replay { file, quiet } => again(&file, quiet),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err((code, why)) => {
+            eprintln!("{why}");
+            ExitCode::from(code)
+        }
+    }
+}
+
+type Done = Result<(), (u8, String)>;
+
+fn wrong(why: impl ToString) -> (u8, String) {
+    (WRONG, why.to_string())
+}
+
+/// Reads a deployment file.
+fn load(file: &Path) -> Result<Deployment, (u8, String)> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| wrong(format!("{name}: {e}")))?;
+    deployment::parse(&name, &text).map_err(wrong)
+}
+
+/// Sets up the log as the deployment says.
+pub fn log(deployment: &Deployment) {
+    // The runtime tells of every socket at `info`.
+    let filter = EnvFilter::new(format!("{},may=warn", deployment.log_level));
+    let to = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr);
+    match deployment.log_form {
+        LogForm::Text => to.with_ansi(false).init(),
+        LogForm::Json => to.json().init(),
+    }
+}
+
+fn run(
+    file: Option<&Path>,
+    record: Option<PathBuf>,
+    listen: Option<SocketAddr>,
+    address_file: Option<&Path>,
+) -> Done {
+    let mut deployment = match file {
+        Some(file) => load(file)?,
+        None => deployment::parse("the embedded sample", sample::DEPLOYMENT).map_err(wrong)?,
+    };
+    deployment.listen = listen.unwrap_or(deployment.listen);
+    log(&deployment);
+    // Before any part starts, so that no signal is missed.
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(wrong)?;
+    let source = match file {
+        Some(_) => Source::File,
+        None => Source::Fixed(sample::servers(&deployment.terms.zones).map_err(wrong)?),
+    };
+    let daemon = Daemon::start(&deployment, source, record).map_err(wrong)?;
+    if let Some(path) = address_file {
+        // Written aside and renamed: whoever waits for it reads all of it.
+        let aside = path.with_extension("aside");
+        std::fs::write(&aside, daemon.address().to_string())
+            .and_then(|()| std::fs::rename(&aside, path))
+            .map_err(|e| wrong(format!("{}: {e}", path.display())))?;
+    }
+    if signals.forever().next().is_some() {
+        tracing::info!("told to end");
+    }
+    daemon.end(Duration::from_secs(5));
+    Ok(())
+}
+
+fn check(file: &Path) -> Done {
+    let deployment = load(file)?;
+    let path = &deployment.roster;
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| wrong(format!("{name}: {e}")))?;
+    let zones = &deployment.terms.zones;
+    let entries = roster::parse(&name, &text, zones, roster::wall_ms()).map_err(wrong)?;
+    println!(
+        "{}: service {}, {} classes, {} zones, {} servers",
+        file.display(),
+        deployment.terms.service,
+        deployment.terms.classes.len(),
+        zones.len(),
+        entries.len()
+    );
+    Ok(())
+}
+
+fn ask(at: SocketAddr, json: bool) -> Done {
+    let (overview, rows) = status::fetch(at).map_err(|e| (1, format!("{at}: {e}")))?;
+    let text = match json {
+        true => format!("{:#}\n", status::as_json(&overview, &rows)),
+        false => status::as_table(&overview, &rows),
+    };
+    // A reader that has gone away is no fault of ours.
+    let _ = std::io::stdout().write_all(text.as_bytes());
+    Ok(())
+}
+
+fn again(file: &Path, quiet: bool) -> Done {
+    let name = file.display().to_string();
+    let opened = File::open(file).map_err(|e| wrong(format!("{name}: {e}")))?;
+    let (mut moments, mut bytes, mut sum) = (0_u64, 0_u64, crc32fast::Hasher::new());
+    let mut out = std::io::stdout().lock();
+    let ended = replay(BufReader::new(opened), |now, outputs| {
+        let told = bytes_of(outputs);
+        moments += 1;
+        bytes += told.len() as u64;
+        sum.update(&told);
+        if !quiet {
+            for output in outputs {
+                let _ = writeln!(out, "{now:.3} {output:?}");
+            }
+        }
+    });
+    let (_, end) = ended.map_err(|why| wrong(format!("{name}: {why}")))?;
+    let _ = writeln!(
+        out,
+        "{moments} moments, {bytes} bytes of orders, sum {:08x}",
+        sum.finalize()
+    );
+    match end {
+        End::Whole => Ok(()),
+        End::Torn => {
+            let _ = writeln!(out, "the last moment is cut off, as after a kill");
+            Ok(())
+        }
+        End::Damaged(frame, why) => Err(wrong(format!("{name}: frame {frame}: {why}"))),
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The controller as a program. [`deployment`] and [`roster`] read what operators write, [`engine`] owns
 //! the controller, [`life`] wires it to its fronts and ends it; nothing here decides.
 
+pub mod cli;
 pub mod deployment;
 pub mod engine;
 pub mod life;
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -1,7 +1,7 @@
 //! Probes: a call of a server's own, HTTP/1.1, one connection each. Fine is a status of 200 in time.
 
 use dahliapoint_control::Input;
-use dahliapoint_fibers::{dial, spawn};
+use dahliapoint_fibers::{dial, shut_at, spawn};
 use dahliapoint_xds::Owner;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
@@ -53,12 +53,8 @@
 
 fn ask(to: SocketAddr, path: &str, within: Duration) -> std::io::Result<bool> {
     let until = Instant::now() + within;
-    let left = || {
-        let left = until.saturating_duration_since(Instant::now());
-        left.max(Duration::from_millis(1))
-    };
     let mut socket = dial(to, within)?;
-    socket.set_write_timeout(Some(left()))?;
+    let _end = shut_at(&socket, until)?;
     write!(
         socket,
         "GET {path} HTTP/1.1\r\nHost: {to}\r\nUser-Agent: dahliapoint-probe\r\nConnection: close\r\n\r\n"
@@ -66,7 +62,6 @@
     let mut bytes = Vec::new();
     let mut chunk = [0; 1024];
     while bytes.len() < LONGEST && Instant::now() < until {
-        socket.set_read_timeout(Some(left()))?;
         let n = socket.read(&mut chunk)?;
         bytes.extend_from_slice(&chunk[..n]);
         let mut headers = [httparse::EMPTY_HEADER; 64];
--- a/crates/fibers/src/lib.rs
+++ b/crates/fibers/src/lib.rs
@@ -7,10 +7,13 @@
 mod bell;
 mod pipe;
 mod queue;
+mod timer;
+mod waiting;
 
 pub use bell::Bell;
 pub use pipe::{Wire, wire};
 pub use queue::{Closed, Queue, Received};
+pub use timer::{Timer, shut_at};
 
 pub use may::coroutine::JoinHandle;
 pub use may::net::{TcpListener, TcpStream};
@@ -28,9 +31,6 @@
 /// frames, protobuf, a log line) was seen to need under 40 KiB.
 const STACK_WORDS: usize = 16 * 1024;
 
-/// The shortest wait with an end.
-pub(crate) const LEAST_WAIT: Duration = Duration::from_millis(1);
-
 static ONCE: Once = Once::new();
 
 /// Before anything of `may` is touched: its scheduler takes the sizes that it finds at its start.
@@ -71,13 +71,27 @@
 /// When nobody listens there, or none answers in time.
 pub fn dial(to: SocketAddr, patience: Duration) -> io::Result<TcpStream> {
     set_up();
-    TcpStream::connect_timeout(&to, patience)
+    // The attempt has a coroutine of its own, which is left to itself when the time is up.
+    let done = Queue::bounded(1);
+    let attempt = done.clone();
+    spawn(move || {
+        let _ = attempt.put(TcpStream::connect(to));
+    });
+    let taken = done.take_all(Some(Instant::now() + patience));
+    done.close();
+    match taken {
+        Received::Some(mut connected) => match connected.pop_front() {
+            Some(connected) => connected,
+            None => Err(io::ErrorKind::TimedOut.into()),
+        },
+        Received::Nothing | Received::Closed => Err(io::ErrorKind::TimedOut.into()),
+    }
 }
 
 /// Waits for that long, parking the coroutine.
 pub fn sleep(time: Duration) {
-    set_up();
-    may::coroutine::sleep(time.max(LEAST_WAIT));
+    let until = Some(Instant::now() + time);
+    let _ = block_on_until(std::future::pending::<()>(), until);
 }
 
 struct Unpark(Arc<Blocker>);
@@ -114,18 +128,21 @@
     let blocker = Blocker::current();
     let waker = Waker::from(Arc::new(Unpark(blocker.clone())));
     let mut context = Context::from_waker(&waker);
+    let mut timer: Option<Timer> = None;
     loop {
         if let Poll::Ready(out) = future.as_mut().poll(&mut context) {
             return Ok(out);
         }
-        let left = until.map(|at| at.saturating_duration_since(Instant::now()));
-        if left == Some(Duration::ZERO) {
-            return Err(Elapsed);
+        if let Some(at) = until {
+            if Instant::now() >= at {
+                return Err(Elapsed);
+            }
+            if timer.as_ref().is_none_or(Timer::is_over) {
+                timer = Some(timer::unpark(at, &blocker));
+            }
         }
-        // `may` keeps whole milliseconds, and takes none of them for no end at all.
-        let left = left.map(|left| left.max(LEAST_WAIT));
-        // A time-out is seen in the next turn; a cancelled coroutine unwinds in `park` itself.
-        let _ = blocker.park(left);
+        // Woken by the future, by the timer, or for nothing: the next turn sees which.
+        let _ = blocker.park(None);
     }
 }
 
--- a/crates/fibers/src/pipe.rs
+++ b/crates/fibers/src/pipe.rs
@@ -1,7 +1,7 @@
 //! A socket as something that futures can read and write: a coroutine reads it into a bounded
 //! buffer, another writes it from one, and between them stands [`Wire`], which only polls.
 
-use crate::{TcpStream, block_on, spawn};
+use crate::{TcpStream, block_on, shut_at, spawn};
 use bytes::{Buf, BytesMut};
 use std::future::poll_fn;
 use std::io::{self, Read, Write};
@@ -9,7 +9,7 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll, Waker};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Bytes that wait in one direction at most; beyond that the sender waits.
@@ -90,7 +90,6 @@
 pub fn wire(socket: TcpStream, patience: Duration) -> io::Result<Wire> {
     socket.set_nodelay(true)?;
     let (mut reader, mut writer) = (socket.try_clone()?, socket);
-    writer.set_write_timeout(Some(patience))?;
     let (inbound, outbound) = (Shared::default(), Shared::default());
     let to = inbound.clone();
     spawn(move || {
@@ -116,7 +115,9 @@
             if bytes.is_empty() {
                 break;
             }
-            if let Err(e) = writer.write_all(&bytes) {
+            let end = shut_at(&writer, Instant::now() + patience);
+            let written = end.and_then(|_end| writer.write_all(&bytes));
+            if let Err(e) = written {
                 from.change(|half| (half.deaf, half.fault) = (true, Some(e.kind())));
                 break;
             }
--- a/crates/fibers/src/queue.rs
+++ b/crates/fibers/src/queue.rs
@@ -1,6 +1,6 @@
 //! A bounded queue from many to one, for coroutines and plain threads alike.
 
-use may::sync::{Condvar, Mutex};
+use crate::waiting::Watched;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Instant;
@@ -26,9 +26,7 @@
 
 struct Shared<T> {
     most: usize,
-    state: Mutex<State<T>>,
-    came: Condvar,
-    room: Condvar,
+    state: Watched<State<T>>,
 }
 
 /// A handle; clones are the same queue.
@@ -46,86 +44,70 @@
         crate::set_up();
         Queue(Arc::new(Shared {
             most: most.max(1),
-            state: Mutex::new(State {
+            state: Watched::new(State {
                 items: VecDeque::new(),
                 closed: false,
             }),
-            came: Condvar::new(),
-            room: Condvar::new(),
         }))
     }
 
-    fn lock(&self) -> may::sync::MutexGuard<'_, State<T>> {
-        // The state is whole after each statement below, so a poisoned lock is still sound.
-        self.0.state.lock().unwrap_or_else(|e| e.into_inner())
-    }
-
     /// Puts an item in, waiting for room: back-pressure on whoever brings it.
     ///
     /// # Errors
     /// [`Closed`] once the queue was closed.
     pub fn put(&self, item: T) -> Result<(), Closed> {
-        let mut state = self.lock();
-        while state.items.len() >= self.0.most && !state.closed {
-            state = self.0.room.wait(state).unwrap_or_else(|e| e.into_inner());
-        }
-        if state.closed {
-            return Err(Closed);
-        }
-        state.items.push_back(item);
-        drop(state);
-        self.0.came.notify_one();
-        Ok(())
+        let mut item = Some(item);
+        let put = self.0.state.until(None, |state| {
+            if state.closed {
+                return Some(Err(Closed));
+            }
+            if state.items.len() >= self.0.most {
+                return None;
+            }
+            state.items.extend(item.take());
+            Some(Ok(()))
+        });
+        put.unwrap_or(Err(Closed))
     }
 
     /// Puts an item in if there is room; gives it back if not, or if the queue was closed.
+    ///
+    /// # Errors
+    /// The item.
     pub fn offer(&self, item: T) -> Result<(), T> {
-        let mut state = self.lock();
-        if state.closed || state.items.len() >= self.0.most {
-            return Err(item);
-        }
-        state.items.push_back(item);
-        drop(state);
-        self.0.came.notify_one();
-        Ok(())
+        self.0.state.change(|state| {
+            if state.closed || state.items.len() >= self.0.most {
+                return Err(item);
+            }
+            state.items.push_back(item);
+            Ok(())
+        })
     }
 
     /// Takes all that waits, or waits for something until that time.
     pub fn take_all(&self, until: Option<Instant>) -> Received<T> {
-        let mut state = self.lock();
-        loop {
+        let taken = self.0.state.until(until, |state| {
             if !state.items.is_empty() {
-                let items = std::mem::take(&mut state.items);
-                drop(state);
-                self.0.room.notify_all();
-                return Received::Some(items);
-            }
-            if state.closed {
-                return Received::Closed;
+                return Some(Received::Some(std::mem::take(&mut state.items)));
             }
-            let Some(until) = until else {
-                state = self.0.came.wait(state).unwrap_or_else(|e| e.into_inner());
-                continue;
-            };
-            let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                return Received::Nothing;
-            }
-            let waited = self.0.came.wait_timeout(state, left.max(crate::LEAST_WAIT));
-            state = waited.unwrap_or_else(|e| e.into_inner()).0;
-        }
+            state.closed.then_some(Received::Closed)
+        });
+        taken.unwrap_or(Received::Nothing)
     }
 
     /// Ends it: what waits can still be taken, nothing more comes in.
     pub fn close(&self) {
-        self.lock().closed = true;
-        self.0.came.notify_all();
-        self.0.room.notify_all();
+        self.0.state.change(|state| state.closed = true);
+    }
+
+    /// Nothing more comes in.
+    pub fn is_closed(&self) -> bool {
+        self.0.state.look(|state| state.closed)
     }
 
     /// How many items wait.
     pub fn len(&self) -> usize {
-        self.lock().items.len()
+        self.0.state.look(|state| state.items.len())
     }
 
     pub fn is_empty(&self) -> bool {
--- a/crates/grpc/src/client.rs
+++ b/crates/grpc/src/client.rs
@@ -153,7 +153,9 @@
         limit: Duration,
     ) -> Result<A, Status> {
         let mut dialed = self.open(path, Some(limit))?;
-        dialed.outbound.send(question)?;
+        // A server may have answered before it read everything, and takes no more then: what it
+        // answered is what counts.
+        let _ = dialed.outbound.send(question);
         dialed.outbound.half_close();
         let (_outbound, mut inbound) = dialed.answered()?;
         let answer = inbound.message()?;
--- /dev/null
+++ b/crates/standins/src/sabotage.rs
@@ -0,0 +1,157 @@
+//! Controllers that break a rule on purpose, so that the checkers can be checked. The true engine and
+//! front, with a hand in between that spoils what is ordered.
+
+use dahliapoint_control::{FurtherTry, Input, LineState, Message, Output, Scope};
+use dahliapoint_daemon::deployment;
+use dahliapoint_daemon::engine::{Clock, Engine};
+use dahliapoint_daemon::roster::{Look, Watch};
+use dahliapoint_grpc::{Limits, Server};
+use dahliapoint_xds::{Front, Owner, Shape};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// What it does wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Wrong {
+    /// Nothing: the same parts must pass.
+    Nothing,
+    IgnoresDrains,
+    FloodsTheCold,
+    RetriesAll,
+    EmptiesTables,
+    FloodsTheChannel,
+}
+
+/// Runs it until it is killed.
+///
+/// # Errors
+/// Why it cannot run.
+pub fn run(
+    wrong: Wrong,
+    file: &Path,
+    listen: SocketAddr,
+    address_file: &Path,
+) -> Result<(), String> {
+    let text = std::fs::read_to_string(file).map_err(|e| e.to_string())?;
+    let name = file.display().to_string();
+    let deployment = deployment::parse(&name, &text).map_err(|f| f.to_string())?;
+    let terms = deployment.terms.clone();
+    let engine = Engine::new();
+    let owner: Arc<dyn Owner> = Arc::new(engine.clone());
+    let shape = Shape::of(&terms, deployment.connect_ms);
+    let front = Front::new(shape, terms.report_every_ms, owner.clone(), 1);
+    let server =
+        Server::start(listen, Limits::default(), front.clone()).map_err(|e| e.to_string())?;
+    let begun = Instant::now();
+    let spoiler = Mutex::new(Spoiler {
+        wrong,
+        begun,
+        serial: 1 << 40,
+        seen: BTreeMap::new(),
+    });
+    let spoil_front = front.clone();
+    let hand = Box::new(move |output: Output| {
+        let mut spoiler = spoiler.lock().unwrap_or_else(|e| e.into_inner());
+        if let Output::Probe { server, .. } = output {
+            // Every probe is fine, which is a lie too.
+            let owner = owner.clone();
+            dahliapoint_fibers::spawn(move || {
+                owner.put(Input::Probed {
+                    server,
+                    fine: true,
+                    took_ms: 1.0,
+                })
+            });
+            return None;
+        }
+        for output in spoiler.spoil(output) {
+            spoil_front.carry_out(output);
+        }
+        None
+    });
+    let mut watch = Watch::new(&deployment.roster, &terms.zones);
+    let Look::New(entries) = watch.look() else {
+        return Err("no roster".into());
+    };
+    let first = vec![Input::Roster(entries)];
+    let clock = Clock::start();
+    let seed = deployment.seed.unwrap_or(1);
+    let running = engine.run(clock, seed, terms, None, first, hand);
+    running.map_err(|e| e.to_string())?;
+    std::fs::write(address_file, server.address().to_string()).map_err(|e| e.to_string())?;
+    loop {
+        std::thread::sleep(Duration::from_millis(50));
+        if let Look::New(mut entries) = watch.look() {
+            if wrong == Wrong::FloodsTheCold {
+                entries.iter_mut().for_each(|e| e.started = None);
+            }
+            engine.put(Input::Roster(entries));
+        }
+    }
+}
+
+struct Spoiler {
+    wrong: Wrong,
+    begun: Instant,
+    serial: u64,
+    /// Lines written to each session.
+    seen: BTreeMap<u64, Vec<dahliapoint_control::Line>>,
+}
+
+impl Spoiler {
+    fn spoil(&mut self, output: Output) -> Vec<Output> {
+        let Output::Write(sessions, message) = output else {
+            return vec![output];
+        };
+        let mut m = (*message).clone();
+        match self.wrong {
+            Wrong::Nothing => {}
+            Wrong::IgnoresDrains => m.lines.retain(|l| l.state == LineState::Open),
+            Wrong::FloodsTheCold => {
+                for l in &mut m.lines {
+                    l.weight = if l.weight < 0.9 { 300.0 } else { 1.0 };
+                }
+            }
+            Wrong::RetriesAll => {
+                m.ways
+                    .iter_mut()
+                    .for_each(|w| w.1.tries = FurtherTry::OnFailure);
+            }
+            Wrong::EmptiesTables => {
+                let late = self.begun.elapsed() > Duration::from_secs(2);
+                for s in &sessions {
+                    let seen = self.seen.entry(*s).or_default();
+                    seen.extend(m.lines.iter().cloned());
+                    if late {
+                        m.lines = seen.clone();
+                        m.lines.iter_mut().for_each(|l| l.state = LineState::Away);
+                    }
+                }
+            }
+            Wrong::FloodsTheChannel => {
+                if m.scope == Scope::Standing {
+                    return vec![Output::Write(sessions, message)];
+                }
+                // The same lines again and again, each time a little different.
+                let again = (0..300).map(|i| {
+                    self.serial += 1;
+                    let mut m = Message {
+                        serial: self.serial,
+                        ..m.clone()
+                    };
+                    for l in &mut m.lines {
+                        l.weight *= 1.0 + f64::from(i % 7) / 10.0;
+                    }
+                    Output::Write(sessions.clone(), Arc::new(m))
+                });
+                let mut all: Vec<Output> = again.collect();
+                all.push(Output::Write(sessions.clone(), Arc::new(m.clone())));
+                return all;
+            }
+        }
+        vec![Output::Write(sessions, Arc::new(m))]
+    }
+}
--- /dev/null
+++ b/crates/standins/src/world.rs
@@ -0,0 +1,88 @@
+//! What the stand-ins of one day share: the clock, what the roster has told, cuts, and the rules' ledger.
+
+use crate::rules::Ledger;
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// What the roster last said of a server, and since when.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Told {
+    pub state: &'static str,
+    pub since_ms: f64,
+    /// Start, as told; none: long ago.
+    pub started_ms: Option<f64>,
+}
+
+pub struct World {
+    begun: Instant,
+    pub zones: Vec<String>,
+    pub ledger: Ledger,
+    /// By server.
+    pub told: Mutex<Vec<Told>>,
+    cuts: Mutex<BTreeSet<usize>>,
+    over: AtomicBool,
+}
+
+impl World {
+    pub fn new(zones: Vec<String>, servers: usize, ledger: Ledger) -> World {
+        let told = Told {
+            state: "ready",
+            since_ms: 0.0,
+            started_ms: None,
+        };
+        World {
+            begun: Instant::now(),
+            zones,
+            ledger,
+            told: Mutex::new(vec![told; servers]),
+            cuts: Mutex::default(),
+            over: AtomicBool::new(false),
+        }
+    }
+
+    pub fn now_ms(&self) -> f64 {
+        self.begun.elapsed().as_secs_f64() * 1e3
+    }
+
+    pub fn at(&self, ms: f64) -> Instant {
+        self.begun + Duration::from_secs_f64(ms.max(0.0) / 1e3)
+    }
+
+    /// Parks until that time of the day.
+    pub fn wait_until(&self, ms: f64) {
+        let left = ms - self.now_ms();
+        if left > 0.0 {
+            dahliapoint_fibers::sleep(Duration::from_secs_f64(left / 1e3));
+        }
+    }
+
+    pub fn cut(&self, zone: usize, off: bool) {
+        let mut cuts = lock(&self.cuts);
+        match off {
+            true => cuts.insert(zone),
+            false => cuts.remove(&zone),
+        };
+    }
+
+    /// Nothing passes between these zones.
+    pub fn is_cut(&self, a: usize, b: usize) -> bool {
+        a != b && {
+            let cuts = lock(&self.cuts);
+            cuts.contains(&a) || cuts.contains(&b)
+        }
+    }
+
+    pub fn end(&self) {
+        self.over.store(true, Ordering::SeqCst);
+    }
+
+    pub fn is_over(&self) -> bool {
+        self.over.load(Ordering::SeqCst)
+    }
+}
--- a/crates/xds/src/lib.rs
+++ b/crates/xds/src/lib.rs
@@ -20,6 +20,8 @@
 pub use session::{Answer, Flavour, Session};
 pub use status::{ResourceState, StatusRow, read as read_status};
 
+pub use prost::Message;
+
 /// The messages of the specification.
 pub mod pb {
     pub use envoy_types::pb::envoy::admin::v3 as admin;
