--- /dev/null
+++ b/crates/intake/src/estimates.rs
@@ -0,0 +1,164 @@
+//! What was met at each server, from what was read: sums by bucket of time and zone of the proxies, the
+//! spread of times, and how far the sums can be trusted.
+
+use crate::ring::{Ring, Sum};
+use crate::sketch::Sketch;
+
+/// An error bound is so many standard deviations: it holds in 19 of 20 cases.
+const BOUND: f64 = 2.0;
+/// An estimate whose bound is wider than this share of itself is not told to decisions ...
+const VAGUE: f64 = 0.5;
+/// ... unless so few tries were met that nothing will be decided on them anyway.
+const FEW: f64 = 8.0;
+
+/// What was met in a bucket.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Met {
+    pub tries: f64,
+    pub failed: f64,
+    pub good_ms: f64,
+    /// Variance of the tries, from what was left unread.
+    pub variance: f64,
+    pub times: Sketch,
+}
+
+impl Sum for Met {
+    fn add(&mut self, other: &Met) {
+        self.tries += other.tries;
+        self.failed += other.failed;
+        self.good_ms += other.good_ms;
+        self.variance += other.variance;
+        self.times.merge(&other.times);
+    }
+}
+
+/// An estimate over a span that ends now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    pub tries: f64,
+    pub failed: f64,
+    /// Mean time of the tries that did not fail, and the time that 95 in 100 stay under.
+    pub mean_ms: f64,
+    pub tail_ms: f64,
+    /// The true number of tries lies within this of the estimate, 19 times in 20.
+    pub error: f64,
+    /// How long ago the newest of it ended.
+    pub age_ms: f64,
+}
+
+impl Estimate {
+    /// Too uncertain to be told: what it says could be chance alone.
+    pub fn is_vague(&self) -> bool {
+        self.tries > FEW && self.error > VAGUE * self.tries
+    }
+}
+
+/// One server, as the proxies of each zone met it.
+#[derive(Clone, Debug)]
+pub struct Server {
+    zones: Vec<Ring<Met>>,
+}
+
+/// All servers.
+#[derive(Clone, Debug)]
+pub struct Estimates {
+    bucket_ms: f64,
+    zones: usize,
+    servers: Vec<Server>,
+    /// Lines whose stretch lies further back than the rings.
+    pub past: u64,
+}
+
+/// A stretch of what was read about a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Noted {
+    pub server: usize,
+    pub zone: usize,
+    pub begin: f64,
+    pub end: f64,
+    pub tries: f64,
+    pub failed: f64,
+    pub good_ms: f64,
+    pub variance: f64,
+}
+
+impl Estimates {
+    pub fn new(bucket_ms: f64, zones: usize) -> Estimates {
+        Estimates {
+            bucket_ms,
+            zones,
+            servers: Vec::new(),
+            past: 0,
+        }
+    }
+
+    fn server(&mut self, server: usize) -> &mut Server {
+        while self.servers.len() <= server {
+            let zones = vec![Ring::new(self.bucket_ms); self.zones];
+            self.servers.push(Server { zones });
+        }
+        &mut self.servers[server]
+    }
+
+    /// Notes what was met over a stretch, evenly over its buckets. What lies before the rings is counted
+    /// and forgotten: it is neither news nor load of this moment.
+    pub fn note(&mut self, now: f64, n: &Noted) {
+        if n.zone >= self.zones || n.tries <= 0.0 {
+            return;
+        }
+        let bucket_ms = self.bucket_ms;
+        let span = (n.end - n.begin).max(1.0);
+        let many = ((span / bucket_ms).round() as usize).clamp(1, crate::ring::BUCKETS);
+        let part = 1.0 / many as f64;
+        let good = (n.tries - n.failed).max(0.0);
+        let mut times = Sketch::default();
+        if good > 0.0 {
+            times.add(n.good_ms / good, good * part);
+        }
+        let met = Met {
+            tries: n.tries * part,
+            failed: n.failed * part,
+            good_ms: n.good_ms * part,
+            variance: n.variance * part,
+            times,
+        };
+        let mut past = 0;
+        let ring = &mut self.server(n.server).zones[n.zone];
+        for i in 0..many {
+            // The middle of each part of the stretch, so that an end on a bound is not the next bucket's.
+            let at = n.end - (i as f64 + 0.5) * span * part;
+            if !ring.add(now, at.min(now), &met) {
+                past = 1;
+            }
+        }
+        self.past += past;
+    }
+
+    /// The index stands for another server from now on.
+    pub fn forget(&mut self, server: usize) {
+        let (bucket_ms, zones) = (self.bucket_ms, self.zones);
+        if let Some(s) = self.servers.get_mut(server) {
+            s.zones = vec![Ring::new(bucket_ms); zones];
+        }
+    }
+
+    /// What was met at a server over a span, by all zones; none if nothing was.
+    pub fn of(&self, now: f64, server: usize, span_ms: f64) -> Option<Estimate> {
+        let rings = &self.servers.get(server)?.zones;
+        let mut sum = Met::default();
+        rings.iter().for_each(|r| sum.add(&r.sum(now, span_ms)));
+        let newest = rings
+            .iter()
+            .filter_map(|r| r.newest(now))
+            .reduce(f64::max)?;
+        let good = (sum.tries - sum.failed).max(0.0);
+        (sum.tries > 0.0).then(|| Estimate {
+            tries: sum.tries,
+            failed: sum.failed,
+            mean_ms: sum.good_ms / good.max(f64::MIN_POSITIVE) * f64::from(good > 0.0),
+            tail_ms: sum.times.quantile(0.95).unwrap_or(0.0),
+            error: BOUND * sum.variance.max(0.0).sqrt(),
+            age_ms: (now - newest).max(0.0),
+        })
+    }
+}
--- /dev/null
+++ b/crates/intake/src/mouth.rs
@@ -0,0 +1,271 @@
+//! Where reports come in. Nobody waits here: what has not been read yet is merged with what comes after,
+//! by reporter and by the stretch of time that it covers, so that a reporter costs no more than its
+//! servers times the buckets of the ring, however fast it talks.
+//!
+//! How it is called: [`Mouth::begun`] and [`Mouth::ended`] for each stream, [`Mouth::put`] for each report,
+//! [`Mouth::read`] by the owner once a period, with the lines that it has room for.
+
+use crate::sampling::{Chance, fate, quota, threshold};
+use crate::timeline::Timeline;
+use std::collections::BTreeMap;
+
+/// Buckets of stretches that may wait for one reporter; the oldest are merged into one.
+const BUCKETS: usize = 8;
+
+/// One line of a report.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Line {
+    pub tries: f64,
+    pub failed: f64,
+    /// Summed time of the tries that did not fail.
+    pub good_ms: f64,
+    /// The server's own words: how many answers carried one, and the sums.
+    pub words: f64,
+    pub own_queue: f64,
+    pub own_ms: f64,
+}
+
+impl Line {
+    fn add(&mut self, other: &Line) {
+        self.tries += other.tries;
+        self.failed += other.failed;
+        self.good_ms += other.good_ms;
+        self.words += other.words;
+        self.own_queue += other.own_queue;
+        self.own_ms += other.own_ms;
+    }
+
+    fn times(&self, factor: f64) -> Line {
+        Line {
+            tries: self.tries * factor,
+            failed: self.failed * factor,
+            good_ms: self.good_ms * factor,
+            words: self.words * factor,
+            own_queue: self.own_queue * factor,
+            own_ms: self.own_ms * factor,
+        }
+    }
+}
+
+/// What is read of one reporter for one stretch.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Read<R, K> {
+    pub reporter: R,
+    /// When the stretch began and ended, on our clock.
+    pub begin: f64,
+    pub end: f64,
+    /// Lines with the variance of their tries.
+    pub lines: Vec<(K, Line, f64)>,
+    /// Visits that came, by class.
+    pub came: Vec<(K, f64)>,
+}
+
+/// Why a report was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Its stream is not known: ended, or of another life.
+    Unknown,
+    /// It names more servers than one reporter may.
+    TooMany,
+    /// It covers no time, or more than an hour.
+    NoStretch,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting<K> {
+    begin: f64,
+    end: f64,
+    lines: BTreeMap<K, Line>,
+    came: BTreeMap<K, f64>,
+}
+
+#[derive(Clone, Debug)]
+struct Reporter<K> {
+    timeline: Timeline,
+    waiting: BTreeMap<u64, Waiting<K>>,
+}
+
+/// Counts since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Tally {
+    pub reports: u64,
+    pub lines: u64,
+    /// Lines that went into others before they were read.
+    pub merged: u64,
+    pub read: u64,
+    /// Lines that were not read, others standing for them.
+    pub left: u64,
+    pub refused: u64,
+}
+
+/// See the module's head.
+#[derive(Clone, Debug)]
+pub struct Mouth<R, K> {
+    bucket_ms: f64,
+    most_servers: usize,
+    reporters: BTreeMap<R, Reporter<K>>,
+    chance: Chance,
+    pub tally: Tally,
+}
+
+impl<R: Ord + Clone, K: Ord + Clone> Mouth<R, K> {
+    pub fn new(bucket_ms: f64, most_servers: usize, seed: u64) -> Mouth<R, K> {
+        Mouth {
+            bucket_ms,
+            most_servers,
+            reporters: BTreeMap::new(),
+            chance: Chance::from(seed),
+            tally: Tally::default(),
+        }
+    }
+
+    /// A stream of a reporter begins: its clock begins with it, and what an older one left unread of the
+    /// same reporter stays.
+    pub fn begun(&mut self, now: f64, reporter: R) {
+        let timeline = Timeline::begun(now);
+        let waiting = self.reporters.remove(&reporter).map(|r| r.waiting);
+        let waiting = waiting.unwrap_or_default();
+        self.reporters
+            .insert(reporter, Reporter { timeline, waiting });
+    }
+
+    /// A stream has ended; what it told and nobody has read is forgotten with its reporter.
+    pub fn ended(&mut self, reporter: &R) {
+        self.reporters.remove(reporter);
+    }
+
+    /// Takes a report in, at once and whatever else waits.
+    ///
+    /// # Errors
+    /// Why it is not taken.
+    pub fn put(
+        &mut self,
+        now: f64,
+        reporter: &R,
+        window_ms: f64,
+        lines: impl ExactSizeIterator<Item = (K, Line)>,
+        came: impl Iterator<Item = (K, f64)>,
+    ) -> Result<(), Refusal> {
+        let refused = |tally: &mut Tally, why| {
+            tally.refused += 1;
+            Err(why)
+        };
+        if !(window_ms > 0.0 && window_ms <= 3.6e6) {
+            return refused(&mut self.tally, Refusal::NoStretch);
+        }
+        if lines.len() > self.most_servers {
+            return refused(&mut self.tally, Refusal::TooMany);
+        }
+        let Some(r) = self.reporters.get_mut(reporter) else {
+            return refused(&mut self.tally, Refusal::Unknown);
+        };
+        let stretch = r.timeline.place(now, window_ms);
+        self.tally.reports += 1;
+        self.tally.lines += lines.len() as u64;
+        let bucket = (stretch.end.max(0.0) / self.bucket_ms) as u64;
+        let waiting = r.waiting.entry(bucket).or_insert_with(|| Waiting {
+            begin: stretch.begin,
+            end: stretch.end,
+            lines: BTreeMap::new(),
+            came: BTreeMap::new(),
+        });
+        waiting.begin = waiting.begin.min(stretch.begin);
+        waiting.end = waiting.end.max(stretch.end);
+        for (server, line) in lines {
+            let full = waiting.lines.len() >= self.most_servers;
+            match waiting.lines.get_mut(&server) {
+                Some(there) => {
+                    there.add(&line);
+                    self.tally.merged += 1;
+                }
+                None if full => self.tally.refused += 1,
+                None => drop(waiting.lines.insert(server, line)),
+            }
+        }
+        for (class, visits) in came {
+            *waiting.came.entry(class).or_default() += visits;
+        }
+        if r.waiting.len() > BUCKETS {
+            Self::merge_oldest(r, &mut self.tally, self.most_servers);
+        }
+        Ok(())
+    }
+
+    fn merge_oldest(r: &mut Reporter<K>, tally: &mut Tally, most: usize) {
+        let Some((_, old)) = r.waiting.pop_first() else {
+            return;
+        };
+        let Some(mut next) = r.waiting.first_entry() else {
+            return;
+        };
+        let next = next.get_mut();
+        next.begin = next.begin.min(old.begin);
+        for (server, line) in old.lines {
+            if next.lines.contains_key(&server) {
+                tally.merged += 1;
+            }
+            if next.lines.contains_key(&server) || next.lines.len() < most {
+                next.lines.entry(server).or_default().add(&line);
+            }
+        }
+        for (class, visits) in old.came {
+            *next.came.entry(class).or_default() += visits;
+        }
+    }
+
+    /// Lines that wait.
+    pub fn waiting(&self) -> usize {
+        self.reporters.values().map(Reporter::lines).sum()
+    }
+
+    /// Reads what waits, at most about so many lines; the rest is stood for.
+    pub fn read(&mut self, room: usize) -> Vec<Read<R, K>> {
+        let wanted: Vec<usize> = self.reporters.values().map(Reporter::lines).collect();
+        let all: usize = wanted.iter().sum();
+        let each = if all <= room {
+            usize::MAX
+        } else {
+            quota(&wanted, room)
+        };
+        let mut out = Vec::new();
+        for (name, r) in &mut self.reporters {
+            if r.waiting.is_empty() {
+                continue;
+            }
+            let level = match r.lines() > each {
+                false => 0.0,
+                true => {
+                    let lines = r.waiting.values().flat_map(|w| w.lines.values());
+                    let sizes: Vec<f64> = lines.map(|l| l.tries).collect();
+                    threshold(&sizes, each)
+                }
+            };
+            for (_, waiting) in std::mem::take(&mut r.waiting) {
+                let mut lines = Vec::with_capacity(waiting.lines.len());
+                for (server, line) in waiting.lines {
+                    match fate(line.tries, level, &mut self.chance) {
+                        Some((factor, variance)) => {
+                            self.tally.read += 1;
+                            lines.push((server, line.times(factor), variance));
+                        }
+                        None => self.tally.left += 1,
+                    }
+                }
+                out.push(Read {
+                    reporter: name.clone(),
+                    begin: waiting.begin,
+                    end: waiting.end,
+                    lines,
+                    came: waiting.came.into_iter().collect(),
+                });
+            }
+        }
+        out
+    }
+}
+
+impl<K> Reporter<K> {
+    fn lines(&self) -> usize {
+        self.waiting.values().map(|w| w.lines.len()).sum()
+    }
+}
--- /dev/null
+++ b/crates/intake/src/sampling.rs
@@ -0,0 +1,76 @@
+//! What is read when more came than can be. A line is kept with a chance that grows with what it says,
+//! and what is kept stands for what is not: sums over lines stay true on average, and their variance is
+//! carried along.
+//!
+//! The rule, read aloud: every reporter has the same quota of lines, and what one does not use goes to the
+//! others. A reporter within its quota is read whole. Beyond it, a line of at least the reporter's
+//! threshold is read as it is; a smaller one is read with the chance of its size over the threshold, and
+//! then counts as if it were the threshold. So no server that is much used goes unread, and a loud reporter
+//! takes nothing from a quiet one.
+
+/// Multiply with carry: numbers from 0 to 1, from a seed.
+#[derive(Clone, Debug)]
+pub struct Chance(u32, u32);
+
+impl Chance {
+    pub fn from(seed: u64) -> Chance {
+        Chance(seed as u32 | 1, (seed >> 32) as u32 | 1)
+    }
+
+    pub fn draw(&mut self) -> f64 {
+        let next = u64::from(self.0) * 4_294_957_665 + u64::from(self.1);
+        (self.0, self.1) = (next as u32, (next >> 32) as u32);
+        f64::from(self.0) / (f64::from(u32::MAX) + 1.0)
+    }
+}
+
+/// The quota of lines that all who want more get, so that no more than `room` are read: the level that
+/// fills the room, by what each wants.
+pub fn quota(wanted: &[usize], room: usize) -> usize {
+    let mut sorted: Vec<usize> = wanted.to_vec();
+    sorted.sort_unstable();
+    let (mut left, mut many) = (room, sorted.len());
+    for want in sorted {
+        if want * many > left {
+            return left / many;
+        }
+        left -= want;
+        many -= 1;
+    }
+    usize::MAX
+}
+
+/// The threshold that leaves, on average, so many lines of these sizes; 0: all are kept.
+pub fn threshold(sizes: &[f64], keep: usize) -> f64 {
+    if sizes.len() <= keep {
+        return 0.0;
+    }
+    let mut sorted: Vec<f64> = sizes.iter().map(|s| s.max(0.0)).collect();
+    sorted.sort_unstable_by(|a, b| b.total_cmp(a));
+    let mut rest: f64 = sorted.iter().sum();
+    // The largest are kept surely; the threshold makes the chances of the rest add up to what is left.
+    for (sure, size) in sorted.iter().enumerate() {
+        let left = keep.saturating_sub(sure);
+        if left == 0 {
+            return f64::INFINITY;
+        }
+        let level = rest / left as f64;
+        if *size <= level {
+            return level;
+        }
+        rest -= size;
+    }
+    0.0
+}
+
+/// A line's fate: the factor that its counts are taken with, and the variance that this brings to its
+/// size; none if it is not read.
+pub fn fate(size: f64, threshold: f64, chance: &mut Chance) -> Option<(f64, f64)> {
+    if size >= threshold {
+        return Some((1.0, 0.0));
+    }
+    let odds = size / threshold;
+    let kept = size > 0.0 && threshold.is_finite() && chance.draw() < odds;
+    // Unbiased for the variance of the sum: what was kept stands for what was not there too.
+    kept.then(|| (1.0 / odds, threshold * (threshold - size)))
+}
--- /dev/null
+++ b/crates/intake/tests/intake.rs
@@ -0,0 +1,377 @@
+//! The intake's parts against cases and against days drawn by chance: what is read stays true on average,
+//! what is merged does not depend on order, and no suspicion rises in calm.
+
+use dahliapoint_intake::belief::{Belief, Change, Views, Word};
+use dahliapoint_intake::estimates::{Estimates, Noted};
+use dahliapoint_intake::mouth::{Line, Mouth, Refusal};
+use dahliapoint_intake::pace::Interval;
+use dahliapoint_intake::sampling::{Chance, fate, quota, threshold};
+use dahliapoint_intake::sketch::{ERROR, Sketch};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::BTreeMap;
+
+fn line(tries: f64, failed: f64, good_ms: f64) -> Line {
+    Line {
+        tries,
+        failed,
+        good_ms,
+        ..Line::default()
+    }
+}
+
+#[test]
+fn quiet_reporters_are_read_whole_and_the_loud_share_the_rest() {
+    let cases: [(&[usize], usize, usize); 6] = [
+        (&[10, 10, 10], 30, usize::MAX),
+        (&[10, 10, 1000], 100, 80),
+        (&[100, 100, 1000], 90, 30),
+        (&[0, 5, 50, 500], 65, 30),
+        (&[], 10, usize::MAX),
+        (&[7], 3, 3),
+    ];
+    for (wanted, room, each) in cases {
+        assert_eq!(quota(wanted, room), each, "{wanted:?} in {room}");
+    }
+}
+
+#[test]
+fn what_is_kept_stands_for_what_is_not() {
+    let sizes: Vec<f64> = (0..400).map(|i| f64::from(i % 40) + 1.0).collect();
+    let truth: f64 = sizes.iter().sum();
+    let level = threshold(&sizes, 100);
+    let mut chance = Chance::from(11);
+    let (mut sums, mut kept, mut within) = (0.0, 0, 0);
+    for _ in 0..500 {
+        let (mut sum, mut variance) = (0.0, 0.0);
+        for size in &sizes {
+            if let Some((factor, v)) = fate(*size, level, &mut chance) {
+                sum += size * factor;
+                variance += v;
+                kept += 1;
+            }
+        }
+        sums += sum;
+        within += usize::from((sum - truth).abs() <= 2.0 * f64::sqrt(variance));
+    }
+    assert!(
+        (sums / 500.0 / truth - 1.0).abs() < 0.01,
+        "{}",
+        sums / 500.0 / truth
+    );
+    assert!((f64::from(kept) / 500.0 - 100.0).abs() < 2.0);
+    assert!(
+        within >= 460,
+        "the bound holds in 19 of 20: {within} of 500"
+    );
+    assert_eq!(threshold(&sizes, 400), 0.0);
+}
+
+#[test]
+fn a_mouth_is_bounded_however_loud_a_reporter_is() {
+    let mut mouth: Mouth<u64, usize> = Mouth::new(500.0, 50, 1);
+    mouth.begun(0.0, 1);
+    mouth.begun(0.0, 2);
+    for i in 0..100_000 {
+        let now = f64::from(i) / 10.0;
+        let lines = (0..10).map(|s| (s, line(1.0, 0.0, 5.0)));
+        mouth.put(now, &1, 0.1, lines, std::iter::empty()).unwrap();
+    }
+    let quiet = [(3, line(7.0, 7.0, 0.0))];
+    mouth
+        .put(
+            10_000.0,
+            &2,
+            500.0,
+            quiet.into_iter(),
+            [(0, 7.0)].into_iter(),
+        )
+        .unwrap();
+    assert!(mouth.waiting() <= 8 * 10 + 1, "{}", mouth.waiting());
+    let read = mouth.read(1_000);
+    let tries: f64 = read.iter().flat_map(|r| &r.lines).map(|l| l.1.tries).sum();
+    assert_eq!(tries, 1_000_007.0, "merged, not lost");
+    assert_eq!(read.last().unwrap().lines, [(3, line(7.0, 7.0, 0.0), 0.0)]);
+    assert_eq!(mouth.waiting(), 0);
+    // Refused, and nothing else is disturbed.
+    let many = (0..51).map(|s| (s, Line::default()));
+    let many = mouth.put(0.0, &1, 1.0, many, std::iter::empty());
+    assert_eq!(many, Err(Refusal::TooMany));
+    let none = || std::iter::empty::<(usize, Line)>();
+    let empty = none().collect::<Vec<_>>();
+    let put = |m: &mut Mouth<u64, usize>, who: u64, window: f64| {
+        m.put(
+            0.0,
+            &who,
+            window,
+            empty.clone().into_iter(),
+            std::iter::empty(),
+        )
+    };
+    assert_eq!(put(&mut mouth, 9, 1.0), Err(Refusal::Unknown));
+    for window in [0.0, -1.0, f64::NAN, f64::INFINITY, 1e9] {
+        assert_eq!(put(&mut mouth, 1, window), Err(Refusal::NoStretch));
+    }
+    mouth.ended(&1);
+    assert_eq!(put(&mut mouth, 1, 1.0), Err(Refusal::Unknown));
+}
+
+#[test]
+fn a_burst_after_a_stall_is_no_load_of_this_moment() {
+    let mut mouth: Mouth<u64, usize> = Mouth::new(500.0, 50, 1);
+    mouth.begun(0.0, 1);
+    let mut estimates = Estimates::new(500.0, 1);
+    // Ten tries each half second; then thirty seconds of silence, and all of it at once.
+    for i in 0..60 {
+        let tries = line(10.0, 0.0, 100.0);
+        let put = mouth.put(
+            30_000.0,
+            &1,
+            500.0,
+            [(0, tries)].into_iter(),
+            std::iter::empty(),
+        );
+        assert_eq!(put, Ok(()), "{i}");
+    }
+    for r in mouth.read(1000) {
+        for (server, l, variance) in r.lines {
+            estimates.note(
+                30_000.0,
+                &Noted {
+                    server,
+                    zone: 0,
+                    begin: r.begin,
+                    end: r.end,
+                    tries: l.tries,
+                    failed: l.failed,
+                    good_ms: l.good_ms,
+                    variance,
+                },
+            );
+        }
+    }
+    let now = estimates.of(30_000.0, 0, 1_000.0).unwrap();
+    assert!(
+        (10.0..=40.0).contains(&now.tries),
+        "two or three halves: {}",
+        now.tries
+    );
+    assert!(now.age_ms <= 500.0);
+    let later = estimates.of(31_500.0, 0, 10_000.0).unwrap();
+    assert!(later.age_ms >= 1_000.0, "{later:?}");
+}
+
+#[test]
+fn the_interval_moves_before_anything_is_left_and_does_not_dance() {
+    let mut interval = Interval::new(0.0, 500.0, 1_000.0);
+    let mut moves = Vec::new();
+    // Reporters bring 1,500 lines a second at the usual interval, less at longer ones.
+    for i in 1..400 {
+        let now = f64::from(i) * 500.0;
+        let lines = 1_500.0 * 500.0 / interval.ms() / 2.0;
+        moves.extend(interval.heard(now, lines, 500.0));
+    }
+    assert!(moves.len() <= 3, "settles: {moves:?}");
+    assert!(interval.ms() > 500.0);
+    // Calm again: back to the usual, and no further.
+    for i in 400..800 {
+        interval.heard(f64::from(i) * 500.0, 10.0, 500.0);
+    }
+    assert_eq!(interval.ms(), 500.0);
+}
+
+fn words(own_ms: f64, queue: f64, met_ms: f64) -> BTreeMap<usize, Word> {
+    let word = Word {
+        own_ms: Some(own_ms),
+        own_queue: Some(queue),
+        met_ms,
+        tries: 50.0,
+    };
+    [(0, word)].into()
+}
+
+#[test]
+fn a_server_that_repeats_a_low_load_while_it_slows_is_flagged_and_an_idle_one_is_not() {
+    // What is said, what is met, whether it must be flagged after ten half-second periods.
+    type Case = (&'static str, fn(usize) -> (f64, f64, f64), bool);
+    let cases: [Case; 6] = [
+        ("idle", |i| (20.0 + (i % 3) as f64, 0.0, 22.0), false),
+        (
+            "busy and says so",
+            |i| (40.0 + i as f64, 6.0, 290.0 + i as f64),
+            false,
+        ),
+        ("stale and slow", |_| (20.0, 0.0, 300.0), true),
+        (
+            "stale while it slows",
+            |i| (20.0, 5.0, 25.0 + 30.0 * i as f64),
+            true,
+        ),
+        (
+            "slow, and its word follows",
+            |i| (25.0 + 30.0 * i as f64, 1.0, 60.0 + 40.0 * i as f64),
+            false,
+        ),
+        (
+            "steady to the digit and met so",
+            |_| (20.0, 1.0, 30.0),
+            false,
+        ),
+    ];
+    for (name, at, wanted) in cases {
+        let mut belief = Belief::default();
+        // Calm first, and then the case.
+        for i in 0..20 {
+            belief.hear_servers(&words(20.0 + f64::from(i % 2), 0.0, 22.0));
+        }
+        assert!(!belief.is_stale(0), "{name}: in calm");
+        let raised = (0..10).position(|i| {
+            let (own, queue, met) = at(i);
+            belief.hear_servers(&words(own, queue, met));
+            belief.is_stale(0)
+        });
+        assert_eq!(raised.is_some(), wanted, "{name}: {raised:?}");
+        // Unflagged by sustained evidence of the contrary, not by one period.
+        if wanted {
+            belief.hear_servers(&words(21.0, 0.0, 22.0));
+            assert!(belief.is_stale(0), "{name}: one period is not enough");
+            for i in 0..14 {
+                belief.hear_servers(&words(20.0 + f64::from(i % 2), 0.0, 22.0));
+            }
+            assert!(!belief.is_stale(0), "{name}: comes down");
+        }
+    }
+}
+
+#[test]
+fn no_flag_rises_in_an_hour_of_calm() {
+    let mut chance = Chance::from(5);
+    let mut belief = Belief::default();
+    for _ in 0..7_200 {
+        let mut said = BTreeMap::new();
+        let mut views = Views::new();
+        for server in 0..20 {
+            let busy = chance.draw() * 0.8;
+            let own = 20.0 * (0.9 + 0.2 * chance.draw());
+            said.insert(
+                server,
+                Word {
+                    own_ms: Some(own),
+                    own_queue: Some((busy * 3.0).floor()),
+                    met_ms: own * (1.0 + busy * 2.0 * chance.draw()),
+                    tries: 5.0 + 40.0 * chance.draw(),
+                },
+            );
+            for proxy in 0..8 {
+                let failed = if chance.draw() < 0.02 { 2.0 } else { 0.0 };
+                views
+                    .entry(proxy)
+                    .or_default()
+                    .insert(server, (10.0, failed));
+            }
+        }
+        let changes = (belief.hear_servers(&said), belief.hear_proxies(&views));
+        assert_eq!(changes, (vec![], vec![]));
+    }
+}
+
+#[test]
+fn a_proxy_that_contradicts_all_others_is_flagged_and_a_server_that_fails_for_all_flags_nobody() {
+    let views = |fails: &dyn Fn(usize, usize) -> bool| {
+        let mut views = Views::new();
+        for proxy in 0..5 {
+            for server in 0..6 {
+                let failed = if fails(proxy, server) { 9.0 } else { 0.0 };
+                views
+                    .entry(proxy)
+                    .or_default()
+                    .insert(server, (10.0, failed));
+            }
+        }
+        views
+    };
+    let mut belief = Belief::default();
+    let one = views(&|proxy, _| proxy == 3);
+    let changes: Vec<_> = (0..4).flat_map(|_| belief.hear_proxies(&one)).collect();
+    assert_eq!(changes, [Change::ContraryProxy(3, true)]);
+    let mut belief = Belief::default();
+    let server = views(&|_, server| server == 2);
+    assert!((0..20).all(|_| belief.hear_proxies(&server).is_empty()));
+    // Says all is well where all others fail.
+    let mut belief = Belief::default();
+    let blind = views(&|proxy, _| proxy != 1);
+    (0..4).for_each(|_| drop(belief.hear_proxies(&blind)));
+    assert!(belief.is_contrary(1) && (0..5).filter(|p| belief.is_contrary(*p)).count() == 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 128, failure_persistence: None, rng_seed: RngSeed::Fixed(9), ..ProptestConfig::default() })]
+
+    /// Merging is free of order and grouping, and quantiles are within their stated error.
+    #[test]
+    fn sketches_merge_in_any_order(values in prop::collection::vec(0.02..50_000.0_f64, 1..300), at in 0.0..1.0_f64) {
+        let of = |values: &[f64]| {
+            let mut s = Sketch::default();
+            values.iter().for_each(|v| s.add(*v, 1.0));
+            s
+        };
+        let cut = (values.len() as f64 * at) as usize;
+        let (a, b) = (of(&values[..cut]), of(&values[cut..]));
+        let whole = of(&values);
+        let (mut ab, mut ba) = (a.clone(), b.clone());
+        ab.merge(&b);
+        ba.merge(&a);
+        prop_assert_eq!(&ab, &ba);
+        prop_assert_eq!(&ab, &whole);
+        let mut sorted = values.clone();
+        sorted.sort_by(f64::total_cmp);
+        for share in [0.5, 0.95] {
+            let rank = (sorted.len() as f64 * share).ceil().max(1.0) as usize;
+            let truth = sorted[rank - 1];
+            let said = whole.quantile(share).unwrap();
+            prop_assert!((said / truth - 1.0).abs() <= 2.1 * ERROR, "{} for {}", said, truth);
+        }
+    }
+
+    /// Whatever is reported, in whatever order and however late: no estimate is negative, infinite, or
+    /// younger than what it is made of; nothing that was put in is lost but what is past.
+    #[test]
+    fn no_report_spoils_an_estimate(
+        script in prop::collection::vec((0_u64..4, 0_usize..5, 0.0..20_000.0_f64, 0.0..1e6_f64, 0.0..1.0_f64, 0.0..3000.0_f64), 1..120),
+        room in 1_usize..60,
+    ) {
+        let mut mouth: Mouth<u64, usize> = Mouth::new(500.0, 16, 3);
+        let mut estimates = Estimates::new(500.0, 2);
+        let mut now = 0.0;
+        (0..4).for_each(|r| mouth.begun(0.0, r));
+        for (reporter, server, window, tries, part, wait) in script {
+            now += wait;
+            if wait < 30.0 {
+                mouth.begun(now, reporter);
+            }
+            let l = line(tries, tries * part, tries * (1.0 - part) * 12.0);
+            let _ = mouth.put(now, &reporter, window, [(server, l)].into_iter(), [(0, tries)].into_iter());
+            for r in mouth.read(room) {
+                prop_assert!(r.begin <= r.end && r.end <= now + 1e-6);
+                for (server, l, variance) in r.lines {
+                    let zone = reporter as usize % 2;
+                    estimates.note(now, &Noted {
+                        server, zone, begin: r.begin, end: r.end,
+                        tries: l.tries, failed: l.failed, good_ms: l.good_ms, variance,
+                    });
+                }
+            }
+            for server in 0..5 {
+                if let Some(e) = estimates.of(now, server, 5_000.0) {
+                    let all = [e.tries, e.failed, e.mean_ms, e.tail_ms, e.error, e.age_ms];
+                    prop_assert!(all.iter().all(|x| x.is_finite() && *x >= 0.0), "{:?}", e);
+                    prop_assert!(e.failed <= e.tries * (1.0 + 1e-9));
+                    prop_assert!(e.age_ms <= 16_000.0 + 500.0);
+                }
+            }
+        }
+        let t = mouth.tally;
+        prop_assert_eq!(mouth.waiting(), 0);
+        prop_assert!(t.read + t.left + t.merged <= t.lines);
+    }
+}
--- a/crates/standins/src/play.rs
+++ b/crates/standins/src/play.rs
@@ -291,6 +291,7 @@
         apply_us: day.apply_us,
         standing: terms.standing_lines as usize,
         connect_ms: day.deployment.connect_ms,
+        idle_ms: terms.idle_ms,
         message_lines: terms.message_lines,
         knows_after_ms: day.deployment.roster_every_ms + MARGIN_MS,
         seed: day.seed,
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -47,6 +47,7 @@
     pub apply_us: f64,
     pub standing: usize,
     pub connect_ms: f64,
+    pub idle_ms: f64,
     pub message_lines: f64,
     /// How late an order that was sent when a start was told can still be without knowing it.
     pub knows_after_ms: f64,
@@ -121,7 +122,8 @@
     last_message: Mutex<f64>,
     last_lines: Mutex<f64>,
     stalled_until: Mutex<f64>,
-    pools: Mutex<HashMap<usize, Vec<TcpStream>>>,
+    /// Connections kept, with when they were last used.
+    pools: Mutex<HashMap<usize, Vec<(TcpStream, f64)>>>,
     shunned: Mutex<HashMap<usize, (u32, f64)>>,
     counts: Mutex<Counts>,
     /// Faults: refuses every message; reads nothing; floods reports; is dead.
@@ -257,6 +259,14 @@
         let table = Arc::new(table);
         let before = std::mem::replace(&mut *lock(&self.table), table.clone());
         let now = layer.world.now_ms();
+        // Connections to servers that have left the table are closed.
+        let gone = |s: &usize| !table.has(*s);
+        let closed: Vec<_> = {
+            let mut pools = lock(&self.pools);
+            let out: Vec<usize> = pools.keys().copied().filter(gone).collect();
+            out.iter().filter_map(|s| pools.remove(s)).collect()
+        };
+        drop(closed);
         for left in before.picks.iter().filter(|p| !table.has(p.server)) {
             let told = lock(&layer.world.told)[left.server].clone();
             if told.state != "ready" {
@@ -519,6 +529,7 @@
         let mut rng = self.seeded(3);
         let world = self.layer.world.clone();
         let mut next = world.now_ms();
+        let mut pruned = next;
         while !world.is_over() && self.pace > 0.0 {
             next += -f64::ln(1.0 - rng.random::<f64>()) / self.pace * 1e3;
             world.wait_until(next);
@@ -526,6 +537,15 @@
                 next = world.now_ms() + 50.0;
                 continue;
             }
+            let now = world.now_ms();
+            if now - pruned > 2_000.0 {
+                pruned = now;
+                let idle = self.layer.idle_ms;
+                let mut pools = lock(&self.pools);
+                pools
+                    .values_mut()
+                    .for_each(|kept| kept.retain(|(_, used)| now - used < idle));
+            }
             let (class, luck) = (rng.random::<f64>(), rng.random::<u64>());
             let proxy = self.clone();
             spawn(move || proxy.visit(class, luck));
@@ -700,8 +720,8 @@
         let until = layer.world.now_ms() + left;
         let pooled = loop {
             match lock(&self.pools).get_mut(&server).and_then(Vec::pop) {
-                Some(socket) if is_closed(&socket) => {}
-                other => break other,
+                Some((socket, _)) if is_closed(&socket) => {}
+                other => break other.map(|(socket, _)| socket),
             }
         };
         let fresh = pooled.is_none();
@@ -757,7 +777,9 @@
                     let kept = !end.is_over();
                     drop(end);
                     if kept {
-                        lock(&self.pools).entry(server).or_default().push(socket);
+                        let now = layer.world.now_ms();
+                        let mut pools = lock(&self.pools);
+                        pools.entry(server).or_default().push((socket, now));
                     }
                     return outcome;
                 }
