--- a/crates/standins/src/play.rs
+++ b/crates/standins/src/play.rs
@@ -316,6 +316,12 @@
     };
     let done = playing.go(begun);
     let used = playing.process.used();
+    // Its own figure for the time within decisions: a measurement, no rule is checked by it.
+    let deciding = match done {
+        Ok(()) => dahliapoint_daemon::status::fetch(controller).ok(),
+        Err(_) => None,
+    };
+    let deciding = deciding.map(|(overview, _)| overview["deciding"].clone());
     if done.is_ok() {
         playing.ended_well = playing.process.end();
     }
@@ -335,6 +341,7 @@
         "ended_orderly": playing.ended_well,
         "cpu_ms_since_last_start": used.map(|u| u.0),
         "peak_memory_mib": used.map(|u| u.1),
+        "deciding": deciding,
     });
     report["kept"] = json!(!world.ledger.is_broken());
     Ok(report)
