--- a/crates/control/src/accounts.rs
+++ b/crates/control/src/accounts.rs
@@ -90,4 +90,7 @@
     pub report_lines: u64,
     pub unknown_lines: u64,
     pub refused_reports: u64,
+    /// Lines of stretches that ended too long ago to be news, and sums too uncertain to be told.
+    pub late_lines: u64,
+    pub vague: u64,
 }
--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -2,12 +2,13 @@
 
 use crate::accounts::{Accounts, Outstanding, Sent};
 use crate::membership::{self, Deed, Member, Patience};
-use crate::reports::{Period, fault_of};
+use crate::reports::{EstimateView, Reports, fault_of};
 use crate::servers::Servers;
 use crate::{AdminState, Entry, FurtherTry, Input, Line, LineState, Message, Output, Report};
 use crate::{Scope, Session, Terms, Way};
 use dahliapoint::rules::Planner;
 use dahliapoint::{Admission, Class, Extent, Listed, Opening, Orders, Standing, Tries};
+use dahliapoint_intake::belief::Change;
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -43,8 +44,8 @@
     zones: HashMap<String, usize>,
     classes: HashMap<String, usize>,
     ways: Vec<Way>,
-    period: Period,
-    period_ends: f64,
+    reports: Reports,
+    now: f64,
     planner_alarm: f64,
     listed: bool,
     serial: u64,
@@ -62,6 +63,7 @@
     pub part: Option<usize>,
     pub weight: f64,
     pub shut: bool,
+    pub estimate: Option<EstimateView>,
 }
 
 /// A proxy as an operator wants to see it.
@@ -74,6 +76,8 @@
     pub unanswered: usize,
     pub unanswered_lines: f64,
     pub refusal: Option<String>,
+    /// Its reports contradict those of all others.
+    pub contrary: bool,
 }
 
 /// All of it at one moment.
@@ -152,8 +156,8 @@
             zones,
             classes: classes.collect(),
             ways: vec![usual; terms.classes.len()],
-            period: Period::default(),
-            period_ends: now + terms.report_every_ms,
+            reports: Reports::new(terms.report_every_ms, terms.zones.len()),
+            now,
             planner_alarm: now,
             listed: false,
             serial: 0,
@@ -170,22 +174,16 @@
     pub fn wake_at(&self) -> f64 {
         let members = self.proxies.values();
         let owed = members.filter_map(|p| p.member.alarm(&self.patience));
-        let period = match self.period.is_empty() {
-            true => f64::INFINITY,
-            false => self.period_ends,
-        };
-        owed.fold(self.planner_alarm.min(period), f64::min)
+        owed.fold(self.planner_alarm, f64::min)
     }
 
     /// All that came at one moment, and what is to be done about it.
     pub fn take(&mut self, now: f64, inputs: Vec<Input>) -> Vec<Output> {
         let mut out = Vec::new();
+        self.now = now;
         for input in inputs {
             self.note(now, input, &mut out);
         }
-        if now >= self.period_ends {
-            self.end_period(now);
-        }
         if self.planner_alarm <= now {
             self.planner_alarm = f64::INFINITY;
         }
@@ -198,7 +196,9 @@
             .filter_map(|p| p.outstanding.oldest_serial());
         let oldest = unanswered.min().unwrap_or(u64::MAX);
         let after = self.terms.warm_after_ms * FORGET;
-        self.servers.forget(now, after, oldest);
+        for s in self.servers.forget(now, after, oldest) {
+            self.reports.forget_server(s);
+        }
         self.accounts.waiting = self.proxies.values().map(|p| p.outstanding.lines()).sum();
         self.accounts.most_waiting = self.accounts.most_waiting.max(self.accounts.waiting);
         out
@@ -221,7 +221,8 @@
             }
             Input::Applied(session, serial) => self.applied(now, session, serial),
             Input::Refused(session, serial, why) => self.refused(now, session, serial, why, out),
-            Input::Reported(session, report) => self.reported(session, &report),
+            Input::Reported(proxy, report) => self.reported(now, &proxy, &report),
+            Input::RoundEnds => self.end_round(now, out),
             Input::Probed {
                 server,
                 fine,
@@ -326,7 +327,7 @@
         if let Some(proxy) = self.proxies.remove(&index) {
             self.by_name.remove(&proxy.name);
             self.planner.proxy_left(index);
-            self.period.forget_proxy(index);
+            self.reports.forget_proxy(index);
             self.free.insert(index);
         }
     }
@@ -380,8 +381,8 @@
         }
     }
 
-    fn reported(&mut self, session: Session, report: &Report) {
-        let Some(index) = self.by_session.get(&session).copied() else {
+    fn reported(&mut self, now: f64, proxy: &str, report: &Report) {
+        let Some(index) = self.by_name.get(proxy).copied() else {
             self.accounts.unknown_lines += report.met.len() as u64;
             return;
         };
@@ -389,35 +390,59 @@
             self.accounts.refused_reports += 1;
             return;
         }
-        let zone = self.proxies[&index].zone;
-        let window = report.window_ms;
+        let who = (index, self.proxies[&index].zone);
         for m in &report.met {
             match self.servers.find(&m.server) {
                 Some(s) => {
                     self.accounts.report_lines += 1;
-                    let tries = (m.tries, m.failed);
-                    self.period.met(s, zone, tries, m.good_ms, window);
+                    let news = self.reports.met(now, who, s, report, m);
+                    self.accounts.late_lines += u64::from(!news);
                 }
                 None => self.accounts.unknown_lines += 1,
             }
         }
         for (class, visits) in &report.came {
             match self.classes.get(class) {
-                Some(class) => self.period.came(index, *class, *visits, window),
+                Some(class) => self.reports.came(index, *class, *visits, report.window_ms),
                 None => self.accounts.unknown_lines += 1,
             }
         }
     }
 
-    fn end_period(&mut self, now: f64) {
-        let (met, came) = self.period.end();
-        met.iter().for_each(|m| self.planner.tries_met(now, m));
-        for c in came {
+    fn end_round(&mut self, now: f64, out: &mut Vec<Output>) {
+        let round = self.reports.end();
+        self.accounts.vague += round.vague;
+        round
+            .met
+            .iter()
+            .for_each(|m| self.planner.tries_met(now, m));
+        for c in round.came {
             self.planner
                 .visits_came(c.proxy, c.class, c.visits, c.window_ms);
         }
-        let every = self.terms.report_every_ms;
-        self.period_ends = now + every;
+        for change in round.changes {
+            let note = match change {
+                Change::StaleServer(s, stale) => {
+                    let name = &self.servers.slots[s].name;
+                    let word = if stale {
+                        "does not explain"
+                    } else {
+                        "explains again"
+                    };
+                    format!("server {name}: its own word of its load {word} what proxies meet")
+                }
+                Change::ContraryProxy(p, contrary) => {
+                    let name = self.proxies.get(&p).map(|p| p.name.to_string());
+                    let word = if contrary {
+                        "contradicts"
+                    } else {
+                        "agrees again with"
+                    };
+                    format!("proxy {}: {word} all others", name.unwrap_or_default())
+                }
+            };
+            out.push(Output::Note(note));
+        }
     }
 
     fn carry_out(&mut self, now: f64, orders: Orders, out: &mut Vec<Output>) {
@@ -670,7 +695,8 @@
 
     /// The present state, for people.
     pub fn overview(&self) -> Overview {
-        let servers = self.servers.known().map(|(_, s)| ServerView {
+        let servers = self.servers.known().map(|(i, s)| ServerView {
+            estimate: self.reports.view(self.now, i),
             name: s.name.clone(),
             address: s.address.clone(),
             zone: self.terms.zones[s.zone].clone(),
@@ -680,7 +706,8 @@
             weight: s.weight,
             shut: s.shut,
         });
-        let proxies = self.proxies.values().map(|p| ProxyView {
+        let proxies = self.proxies.iter().map(|(i, p)| ProxyView {
+            contrary: self.reports.is_contrary(*i),
             name: p.name.clone(),
             zone: self.terms.zones[p.zone].clone(),
             session: p.session,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use accounts::Accounts;
 pub use controller::{Controller, Overview, ProxyView, ServerView};
-pub use reports::fault_of;
+pub use reports::{EstimateView, fault_of};
 
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -92,7 +92,7 @@
 }
 
 /// What a proxy met at a server, over all classes or for one.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct MetLine {
     /// Name or address.
     pub server: String,
@@ -100,13 +100,20 @@
     pub failed: f64,
     /// Summed time of the tries that did not fail.
     pub good_ms: f64,
+    /// Variance of the tries, where this line stands for others that were not read.
+    pub variance: f64,
+    /// The server's own words: how many answers carried one, and the sums of its queue and its time.
+    pub words: f64,
+    pub own_queue: f64,
+    pub own_ms: f64,
 }
 
 /// A load report of one proxy.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
-    /// The stretch of time that it covers.
+    /// The stretch of time that it covers, and how long ago that ended.
     pub window_ms: f64,
+    pub ended_ago_ms: f64,
     pub met: Vec<MetLine>,
     /// Visits that came, by class.
     pub came: Vec<(String, f64)>,
@@ -131,7 +138,10 @@
     Applied(Session, u64),
     /// The proxy refused that message and keeps what it holds.
     Refused(Session, u64, String),
-    Reported(Session, Report),
+    /// A report of the proxy of that name.
+    Reported(String, Report),
+    /// All reports of a round were told: now they are judged together.
+    RoundEnds,
     Probed {
         server: String,
         fine: bool,
--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -1,8 +1,12 @@
-//! Load reports added up over one period, by server and zone of the proxies: the planner is told a
-//! period at a time, so that nothing is judged on half a round.
+//! Load reports added up over one round, by server and zone of the proxies: the planner is told a round
+//! at a time, so that nothing is judged on half of one. What is news, what is too vague and whom to believe
+//! is decided in `dahliapoint-intake`.
 
-use crate::Report;
+use crate::{MetLine, Report};
 use dahliapoint::Met;
+use dahliapoint_intake::belief::{Belief, Change, Views, Word};
+use dahliapoint_intake::estimates::{self, Estimates, Noted};
+use serde::Serialize;
 use std::collections::BTreeMap;
 
 /// Visits or tries that one line can honestly name; more is a fault of the reporter.
@@ -19,7 +23,19 @@
             report.window_ms
         ));
     }
+    if !(report.ended_ago_ms >= 0.0 && report.ended_ago_ms.is_finite()) {
+        return Some("a report that ends in the future".into());
+    }
     for m in &report.met {
+        if ![m.variance, m.words, m.own_queue, m.own_ms]
+            .iter()
+            .all(|x| x.is_finite() && *x >= 0.0)
+        {
+            return Some(format!(
+                "{}: words and variances from 0 up are wanted",
+                m.server
+            ));
+        }
         if !count(m.tries) || !count(m.failed) {
             return Some(format!("{}: counts from 0 to 1e9 are wanted", m.server));
         }
@@ -34,12 +50,30 @@
     came.map(|(class, _)| format!("{class}: visits from 0 to 1e9 are wanted"))
 }
 
+/// What is estimated of a server, for people.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct EstimateView {
+    pub tries_per_s: f64,
+    pub failed_share: f64,
+    pub mean_ms: f64,
+    pub tail_ms: f64,
+    /// The true tries a second lie within this, 19 times in 20.
+    pub error_per_s: f64,
+    pub age_ms: f64,
+    /// Its own word does not explain what is met there.
+    pub stale: bool,
+}
+
+/// Estimates for people cover so many rounds.
+const SHOWN: f64 = 10.0;
+
 #[derive(Clone, Copy, Default)]
 struct Sum {
     tries: f64,
     failed: f64,
     good_ms: f64,
-    tries_window: f64,
+    variance: f64,
+    tries_back: f64,
 }
 
 /// Visits of a class that came to a proxy.
@@ -50,31 +84,90 @@
     pub window_ms: f64,
 }
 
-/// The period that is filling.
-#[derive(Default)]
-pub struct Period {
+/// What a round comes to.
+pub struct Round {
+    pub met: Vec<Met>,
+    pub came: Vec<Came>,
+    /// Sums that were too uncertain to be told.
+    pub vague: u64,
+    pub changes: Vec<Change>,
+}
+
+/// The round that is filling, and what is known from those before.
+pub struct Reports {
+    every_ms: f64,
+    estimates: Estimates,
+    belief: Belief,
     met: BTreeMap<(usize, usize), Sum>,
     came: BTreeMap<(usize, usize), (f64, f64)>,
+    words: BTreeMap<usize, (MetLine, f64)>,
+    views: Views,
 }
 
-impl Period {
-    pub fn is_empty(&self) -> bool {
-        self.met.is_empty() && self.came.is_empty()
+impl Reports {
+    pub fn new(every_ms: f64, zones: usize) -> Reports {
+        Reports {
+            every_ms,
+            estimates: Estimates::new(every_ms, zones),
+            belief: Belief::default(),
+            met: BTreeMap::new(),
+            came: BTreeMap::new(),
+            words: BTreeMap::new(),
+            views: Views::new(),
+        }
     }
 
+    /// A line of a proxy's report. False if its stretch ended too long ago to be news: then it counts for
+    /// the estimates of that time alone.
     pub fn met(
         &mut self,
+        now: f64,
+        who: (usize, usize),
         server: usize,
-        zone: usize,
-        tries: (f64, f64),
-        good_ms: f64,
-        window: f64,
-    ) {
+        report: &Report,
+        m: &MetLine,
+    ) -> bool {
+        let (proxy, zone) = who;
+        let end = now - report.ended_ago_ms;
+        let begin = end - report.window_ms;
+        let trust = self.belief.trust(proxy);
+        self.estimates.note(
+            now,
+            &Noted {
+                server,
+                zone,
+                begin,
+                end,
+                tries: m.tries,
+                failed: m.failed,
+                good_ms: m.good_ms,
+                variance: m.variance,
+            },
+        );
+        if !estimates::is_news(report.ended_ago_ms, self.every_ms) {
+            return false;
+        }
         let sum = self.met.entry((server, zone)).or_default();
-        sum.tries += tries.0;
-        sum.failed += tries.1;
-        sum.good_ms += good_ms;
-        sum.tries_window += tries.0 * window;
+        sum.tries += m.tries * trust;
+        sum.failed += m.failed * trust;
+        sum.good_ms += m.good_ms * trust;
+        sum.variance += m.variance * trust * trust;
+        sum.tries_back += m.tries * trust * (now - begin);
+        let word = self.words.entry(server).or_default();
+        word.0.tries += m.tries;
+        word.0.failed += m.failed;
+        word.0.good_ms += m.good_ms;
+        word.0.words += m.words;
+        word.0.own_queue += m.own_queue;
+        word.0.own_ms += m.own_ms;
+        let view = self
+            .views
+            .entry(proxy)
+            .or_default()
+            .entry(server)
+            .or_default();
+        (view.0, view.1) = (view.0 + m.tries, view.1 + m.failed);
+        true
     }
 
     pub fn came(&mut self, proxy: usize, class: usize, visits: f64, window: f64) {
@@ -85,20 +178,39 @@
 
     pub fn forget_proxy(&mut self, proxy: usize) {
         self.came.retain(|(p, _), _| *p != proxy);
+        self.views.remove(&proxy);
+        self.belief.forget_proxy(proxy);
     }
 
-    /// Ends the period: what was met at servers, and what came to proxies.
-    pub fn end(&mut self) -> (Vec<Met>, Vec<Came>) {
-        let met = std::mem::take(&mut self.met).into_iter();
-        let met = met.filter(|(_, sum)| sum.tries > 0.0);
-        let met = met.map(|((server, zone), sum)| Met {
-            zone,
-            server,
-            tries: sum.tries,
-            failed: sum.failed,
-            window_ms: sum.tries_window / sum.tries,
-            mean_ms: sum.good_ms / (sum.tries - sum.failed).max(1.0),
-        });
+    /// The index stands for another server from now on.
+    pub fn forget_server(&mut self, server: usize) {
+        self.met.retain(|(s, _), _| *s != server);
+        self.words.remove(&server);
+        self.estimates.forget(server);
+        self.belief.forget_server(server);
+    }
+
+    /// Ends the round: what is told to decisions, and whose word has become doubtful or good again.
+    pub fn end(&mut self) -> Round {
+        let mut vague = 0;
+        let mut met = Vec::with_capacity(self.met.len());
+        for ((server, zone), sum) in std::mem::take(&mut self.met) {
+            if sum.tries <= 0.0 {
+                continue;
+            }
+            if estimates::is_vague(sum.tries, sum.variance) {
+                vague += 1;
+                continue;
+            }
+            met.push(Met {
+                zone,
+                server,
+                tries: sum.tries,
+                failed: sum.failed,
+                window_ms: sum.tries_back / sum.tries,
+                mean_ms: sum.good_ms / (sum.tries - sum.failed).max(1.0),
+            });
+        }
         let came = std::mem::take(&mut self.came).into_iter();
         let came = came.map(|((proxy, class), (visits, window_ms))| Came {
             proxy,
@@ -106,6 +218,46 @@
             visits,
             window_ms,
         });
-        (met.collect(), came.collect())
+        let words = std::mem::take(&mut self.words).into_iter();
+        let words: BTreeMap<usize, Word> = words
+            .map(|(server, (m, _))| {
+                let said = m.words > 0.0;
+                let good = m.tries - m.failed;
+                let word = Word {
+                    own_ms: said.then(|| m.own_ms / m.words),
+                    own_queue: said.then(|| m.own_queue / m.words),
+                    met_ms: if good > 0.0 { m.good_ms / good } else { 0.0 },
+                    tries: if good > 0.0 { m.tries } else { 0.0 },
+                };
+                (server, word)
+            })
+            .collect();
+        let mut changes = self.belief.hear_servers(&words);
+        changes.extend(self.belief.hear_proxies(&std::mem::take(&mut self.views)));
+        Round {
+            met,
+            came: came.collect(),
+            vague,
+            changes,
+        }
+    }
+
+    pub fn is_contrary(&self, proxy: usize) -> bool {
+        self.belief.is_contrary(proxy)
+    }
+
+    pub fn view(&self, now: f64, server: usize) -> Option<EstimateView> {
+        let span = SHOWN * self.every_ms;
+        let e = self.estimates.of(now, server, span)?;
+        let per_s = 1e3 / (span + self.every_ms / 2.0);
+        Some(EstimateView {
+            tries_per_s: e.tries * per_s,
+            failed_share: e.failed / e.tries,
+            mean_ms: e.mean_ms,
+            tail_ms: e.tail_ms,
+            error_per_s: e.error * per_s,
+            age_ms: e.age_ms,
+            stale: self.belief.is_stale(server),
+        })
     }
 }
--- a/crates/control/src/servers.rs
+++ b/crates/control/src/servers.rs
@@ -130,8 +130,9 @@
     }
 
     /// Forgets gone servers whose index nothing refers to: no line, withdrawn everywhere, long enough
-    /// gone, no probe out, and every message that named them answered.
-    pub fn forget(&mut self, now: f64, after_ms: f64, oldest_unanswered: u64) {
+    /// gone, no probe out, and every message that named them answered. Tells which.
+    pub fn forget(&mut self, now: f64, after_ms: f64, oldest_unanswered: u64) -> Vec<usize> {
+        let mut forgotten = Vec::new();
         for index in 0..self.slots.len() {
             let slot = &self.slots[index];
             let known = self.by_name.get(&slot.name) == Some(&index);
@@ -144,8 +145,10 @@
                     self.by_address.remove(&address);
                 }
                 self.free.entry(slot.zone).or_default().push(index);
+                forgotten.push(index);
             }
         }
+        forgotten
     }
 
     /// Indices that stand for a name.
--- a/crates/control/tests/controller.rs
+++ b/crates/control/tests/controller.rs
@@ -301,7 +301,7 @@
         Input::Applied(77, 1),
         Input::Refused(77, 1, "who".into()),
         Input::Left(77),
-        Input::Reported(77, Report::default()),
+        Input::Reported("nobody".into(), Report::default()),
     ];
     day.tell(odd.to_vec());
     assert_eq!(day.controller.overview().accounts.odd_answers, 4);
@@ -375,9 +375,11 @@
         tries,
         failed,
         good_ms,
+        ..MetLine::default()
     };
     let report = |met| Report {
         window_ms: 500.0,
+        ended_ago_ms: 0.0,
         met: vec![met],
         came: vec![("view".into(), 3.0)],
     };
@@ -398,7 +400,7 @@
             *fine,
             "{met:?}"
         );
-        day.tell(vec![Input::Reported(1, report)]);
+        day.tell(vec![Input::Reported("p1".into(), report)]);
     }
     let accounts = day.controller.overview().accounts;
     assert_eq!((accounts.report_lines, accounts.unknown_lines), (1, 1));
@@ -427,10 +429,12 @@
             tries,
             failed: tries * part,
             good_ms: tries * (1.0 - part) * mean,
+            ..MetLine::default()
         },
     );
     let report = prop::collection::vec(met, 0..5).prop_map(|met| Report {
         window_ms: 500.0,
+        ended_ago_ms: 20.0,
         met,
         came: vec![("view".into(), 9.0), ("none".into(), 1.0)],
     });
@@ -446,7 +450,8 @@
         session.clone().prop_map(Input::Left),
         (session.clone(), 0_u64..60).prop_map(|(s, n)| Input::Applied(s, n)),
         (session.clone(), 0_u64..60).prop_map(|(s, n)| Input::Refused(s, n, "no".into())),
-        (session, report).prop_map(|(s, r)| Input::Reported(s, r)),
+        (session, report).prop_map(|(s, r)| Input::Reported(format!("p{}", s % 4), r)),
+        Just(Input::RoundEnds),
         ("[a-d]{1,4}", any::<bool>()).prop_map(|(server, fine)| Input::Probed {
             server,
             fine,
@@ -485,7 +490,6 @@
                     Input::Left(s) => Input::Left(of(&s)),
                     Input::Applied(s, n) => Input::Applied(of(&s), n),
                     Input::Refused(s, n, why) => Input::Refused(of(&s), n, why),
-                    Input::Reported(s, r) => Input::Reported(of(&s), r),
                     other => other,
                 }
             }).collect();
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -1,23 +1,49 @@
 //! The one owner of the controller: a thread that is fed by a queue. All that waits in it is one moment.
+//!
+//! Load reports do not go through the queue: they go into the intake's mouth, which merges and never
+//! waits, and are read once a round as background work, in slices. Between two slices the queue comes
+//! first, so a drain waits behind one slice of reports at the most.
 
 use dahliapoint_control::record::{Begin, Recorder};
-use dahliapoint_control::{Controller, Input, Output, Terms};
+use dahliapoint_control::{Controller, Input, MetLine, Output, Report, Session, Terms};
 use dahliapoint_fibers::{Bell, Queue, Received};
+use dahliapoint_intake::mouth::{Line, Mouth, Read};
+use dahliapoint_intake::pace::Interval;
+use dahliapoint_scheduler::{Budget, Id, Piece, Scheduler, Told};
 use dahliapoint_xds::Owner;
+use std::collections::VecDeque;
 use std::fs::File;
 use std::io::{self, BufWriter};
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
-use tracing::{error, info};
+use tracing::{debug, error, info, warn};
 
 /// Inputs that wait at most; beyond that whoever brings one waits.
 const MOST: usize = 16 * 1024;
+/// Servers that one reporter may name.
+const MOST_SERVERS: usize = 20_000;
 /// Where the clock starts: late enough that all that is told of the past lies after 0.
 const ORIGIN_MS: f64 = 1e9;
 
+/// Background work, the highest first: reading reports, then answering people. Decisions and withdrawals
+/// are no background work: they are done before any of it.
+const READING: usize = 0;
+const TELLING: usize = 1;
+/// The budgets' period, shares of it, and how much may wait.
+const PERIOD_MS: f64 = 100.0;
+const READING_SHARE: f64 = 0.5;
+const TELLING_SHARE: f64 = 0.1;
+const WAITING: usize = 1024;
+/// Reporters' stretches that one slice reads.
+const SLICE: usize = 64;
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
 /// A clock that never goes back.
 #[derive(Clone, Copy)]
 pub struct Clock(Instant);
@@ -33,7 +59,7 @@
 
     fn at(&self, ms: f64) -> Option<Instant> {
         let after = (ms - ORIGIN_MS) / 1e3;
-        // A day ahead is as good as never: the queue wakes it before.
+        // A year ahead is as good as never: the queue wakes it before.
         let after = after.clamp(0.0, 86_400.0 * 365.0);
         self.0.checked_add(Duration::from_secs_f64(after))
     }
@@ -54,13 +80,19 @@
 /// Carries out an output; gives it back if it is for another.
 pub type Hand = Box<dyn Fn(Output) -> Option<Output> + Send>;
 
+/// A reporter: the proxy's name, and the number of its stream.
+type Reporter = (Arc<str>, Session);
+
 /// The way to the owner; clones are the same.
 #[derive(Clone)]
 pub struct Engine {
+    clock: Clock,
     queue: Queue<Item>,
+    mouth: Arc<Mutex<Mouth<Reporter, Arc<str>>>>,
+    /// The reporting interval that proxies are told, as the bits of a number.
+    every_ms: Arc<AtomicU64>,
     roster_fault: Arc<Mutex<Option<String>>>,
     figures: Arc<Mutex<Figures>>,
-    ended: Arc<AtomicBool>,
 }
 
 /// What the owner has used so far, for measurements.
@@ -71,16 +103,38 @@
     /// Time within decisions, and the longest of one moment.
     pub deciding_ms: f64,
     pub longest_ms: f64,
+    /// Rounds of reports, the longest time that reading one took, and periods in which work was put off.
+    pub rounds: u64,
+    pub longest_round_ms: f64,
+    pub put_off: u64,
+}
+
+/// What the owner's thread works with.
+struct Work {
+    controller: Controller,
+    record: Option<Recorder<BufWriter<File>>>,
+    hand: Hand,
+    scheduler: Scheduler,
+    interval: Interval,
+    every_ms: f64,
+    next_round: f64,
+    /// The round being read, what it began with, and its piece of work.
+    unread: VecDeque<Read<Reporter, Arc<str>>>,
+    reading: Option<(Id, f64)>,
+    lines_before: u64,
+    asked: Vec<(Id, Arc<Asked>)>,
 }
 
 impl Engine {
-    /// An engine with its queue; it is fed before it runs.
-    pub fn new() -> Engine {
+    /// An engine with its queue; it is fed before it runs. `every_ms` is the usual reporting interval.
+    pub fn new(clock: Clock, seed: u64, every_ms: f64) -> Engine {
         Engine {
+            clock,
             queue: Queue::bounded(MOST),
+            mouth: Arc::new(Mutex::new(Mouth::new(every_ms, MOST_SERVERS, seed))),
+            every_ms: Arc::new(AtomicU64::new(every_ms.to_bits())),
             roster_fault: Arc::default(),
             figures: Arc::default(),
-            ended: Arc::default(),
         }
     }
 
@@ -90,14 +144,13 @@
     /// When the record cannot be written or the thread cannot be started.
     pub fn run(
         &self,
-        clock: Clock,
         seed: u64,
         terms: Terms,
         record: Option<&Path>,
         first: Vec<Input>,
         hand: Hand,
     ) -> io::Result<JoinHandle<()>> {
-        let now = clock.now_ms();
+        let now = self.clock.now_ms();
         let mut recorder = None;
         if let Some(path) = record {
             let begin = Begin {
@@ -110,71 +163,196 @@
                 &begin,
             )?);
         }
-        let controller = Controller::begun(now, seed, terms);
+        let budget = |share| Budget {
+            ms: PERIOD_MS * share,
+            most: WAITING,
+        };
+        let budgets = [budget(READING_SHARE), budget(TELLING_SHARE)];
+        let every_ms = terms.report_every_ms;
+        let work = Work {
+            interval: Interval::new(now, every_ms, terms.reports_per_s),
+            controller: Controller::begun(now, seed, terms),
+            record: recorder,
+            hand,
+            scheduler: Scheduler::new(now, PERIOD_MS, &budgets),
+            every_ms,
+            next_round: now + every_ms,
+            unread: VecDeque::new(),
+            reading: None,
+            lines_before: 0,
+            asked: Vec::new(),
+        };
         let engine = self.clone();
         std::thread::Builder::new()
             .name("controller".into())
-            .spawn(move || engine.own(clock, controller, recorder, first, &hand))
+            .spawn(move || engine.own(work, first))
     }
 
-    fn own(
-        &self,
-        clock: Clock,
-        mut controller: Controller,
-        mut record: Option<Recorder<BufWriter<File>>>,
-        first: Vec<Input>,
-        hand: &Hand,
-    ) {
-        let mut inputs = first;
+    fn own(&self, mut work: Work, first: Vec<Input>) {
+        self.decide(&mut work, first);
         loop {
-            let now = clock.now_ms();
-            if let Some(recorder) = &mut record
-                && let Err(e) = recorder.note(now, &inputs).and_then(|()| recorder.flush())
-            {
-                // The day goes on without its record.
-                error!(error = %e, "the record cannot be written; it ends here");
-                record = None;
+            let now = self.clock.now_ms();
+            if now >= work.next_round && work.reading.is_none() {
+                self.begin_round(&mut work, now);
             }
-            let count = inputs.len();
-            let outputs = controller.take(now, inputs);
-            self.count(clock.now_ms() - now, count);
-            for output in outputs {
-                match hand(output) {
-                    Some(Output::Note(note)) => info!(target: "decisions", "{note}"),
-                    Some(Output::Write(..) | Output::Close(..) | Output::Probe { .. }) | None => {}
+            let next = work.scheduler.next(now);
+            self.say_what_waits(&mut work);
+            // With work at hand the queue is only looked into; without, it is waited for.
+            let until = match next {
+                Some(_) => now,
+                None => {
+                    let alarm = work.controller.wake_at().min(work.next_round);
+                    work.scheduler.wake_at().map_or(alarm, |at| alarm.min(at))
                 }
-            }
-            inputs = Vec::new();
-            let until = clock.at(controller.wake_at());
-            match self.queue.take_all(until) {
-                Received::Some(items) => {
-                    for item in items {
-                        match item {
-                            Item::Input(input) => inputs.push(input),
-                            Item::Ask(asked) => self.answer(&controller, &asked),
-                        }
+            };
+            let taken = self.queue.take_all(self.clock.at(until));
+            let closed = matches!(taken, Received::Closed);
+            let mut inputs = Vec::new();
+            if let Received::Some(items) = taken {
+                for item in items {
+                    match item {
+                        Item::Input(input) => inputs.push(input),
+                        Item::Ask(asked) => self.submit_answer(&mut work, asked),
                     }
                 }
-                Received::Nothing => {}
-                Received::Closed => break,
+            }
+            if closed {
+                break;
+            }
+            let due = work.controller.wake_at() <= self.clock.now_ms();
+            if !inputs.is_empty() || due {
+                self.decide(&mut work, inputs);
+            }
+            if let Some((id, piece)) = next {
+                let begun = self.clock.now_ms();
+                let more = match piece.class {
+                    READING => self.read_slice(&mut work),
+                    _ => self.answer(&mut work, id),
+                };
+                let now = self.clock.now_ms();
+                work.scheduler.worked(now, id, now - begun, more);
             }
         }
-        self.ended.store(true, Ordering::SeqCst);
+        work.asked
+            .drain(..)
+            .for_each(|(_, asked)| asked.bell.ring());
     }
 
-    fn count(&self, took: f64, inputs: usize) {
-        let mut figures = self.figures.lock().unwrap_or_else(|e| e.into_inner());
-        figures.moments += 1;
-        figures.inputs += inputs as u64;
-        figures.deciding_ms += took;
-        figures.longest_ms = figures.longest_ms.max(took);
+    /// One moment: written down, decided, carried out.
+    fn decide(&self, work: &mut Work, inputs: Vec<Input>) {
+        let now = self.clock.now_ms();
+        if let Some(recorder) = &mut work.record
+            && let Err(e) = recorder.note(now, &inputs).and_then(|()| recorder.flush())
+        {
+            // The day goes on without its record.
+            error!(error = %e, "the record cannot be written; it ends here");
+            work.record = None;
+        }
+        let count = inputs.len();
+        let outputs = work.controller.take(now, inputs);
+        let took = self.clock.now_ms() - now;
+        {
+            let mut figures = lock(&self.figures);
+            figures.moments += 1;
+            figures.inputs += count as u64;
+            figures.deciding_ms += took;
+            figures.longest_ms = figures.longest_ms.max(took);
+        }
+        for output in outputs {
+            if let Some(Output::Note(note)) = (work.hand)(output) {
+                info!(target: "decisions", "{note}");
+            }
+        }
     }
 
-    fn answer(&self, controller: &Controller, asked: &Asked) {
+    /// Takes what the mouth holds, as much as may be read in a round, and has it read in slices.
+    fn begin_round(&self, work: &mut Work, now: f64) {
+        let per_ms = work.controller.terms().reports_per_s / 1e3;
+        let room = (per_ms * work.every_ms).max(1.0) as usize;
+        let (read, tally) = {
+            let mut mouth = lock(&self.mouth);
+            (mouth.read(room), mouth.tally)
+        };
+        let came = (tally.lines - work.lines_before) as f64;
+        work.lines_before = tally.lines;
+        let over = now - (work.next_round - work.every_ms);
+        if let Some(every) = work.interval.heard(now, came, over) {
+            warn!(
+                every_ms = every,
+                lines = came,
+                "proxies are told to report at another interval"
+            );
+            self.every_ms.store(every.to_bits(), Ordering::SeqCst);
+        }
+        work.next_round = (work.next_round + work.every_ms).max(now);
+        work.unread = read.into();
+        let piece = Piece {
+            class: READING,
+            owner: 0,
+            deadline: None,
+        };
+        work.reading = work.scheduler.submit(now, piece).map(|id| (id, now));
+    }
+
+    /// Reads a slice; tells whether more of the round is left.
+    fn read_slice(&self, work: &mut Work) -> bool {
+        let now = self.clock.now_ms();
+        let many = work.unread.len().min(SLICE);
+        let slice = work.unread.drain(..many);
+        let mut inputs: Vec<Input> = slice.map(|r| reported(now, r)).collect();
+        let more = !work.unread.is_empty();
+        if !more {
+            inputs.push(Input::RoundEnds);
+        }
+        self.decide(work, inputs);
+        if let Some((_, begun)) = work.reading.filter(|_| !more) {
+            work.reading = None;
+            let mut figures = lock(&self.figures);
+            figures.rounds += 1;
+            figures.longest_round_ms = figures.longest_round_ms.max(now - begun);
+        }
+        more
+    }
+
+    fn submit_answer(&self, work: &mut Work, asked: Arc<Asked>) {
+        let piece = Piece {
+            class: TELLING,
+            owner: 0,
+            deadline: None,
+        };
+        if let Some(id) = work.scheduler.submit(self.clock.now_ms(), piece) {
+            work.asked.push((id, asked));
+        }
+    }
+
+    fn say_what_waits(&self, work: &mut Work) {
+        for told in work.scheduler.told() {
+            match told {
+                Told::PutOff(class) => {
+                    lock(&self.figures).put_off += 1;
+                    debug!(class, "background work waits for its next period");
+                }
+                Told::PushedOut(id) | Told::TooLate(id) => {
+                    let gone = work.asked.iter().position(|(i, _)| *i == id);
+                    if let Some(at) = gone {
+                        work.asked.swap_remove(at).1.bell.ring();
+                    }
+                    warn!(id, "background work was given up: there is too much");
+                }
+            }
+        }
+    }
+
+    /// Answers a question; there is never more of it.
+    fn answer(&self, work: &mut Work, id: Id) -> bool {
+        let Some(at) = work.asked.iter().position(|(i, _)| *i == id) else {
+            return false;
+        };
+        let (_, asked) = work.asked.swap_remove(at);
+        let controller = &work.controller;
         let mut view = serde_json::to_value(controller.overview()).unwrap_or_default();
-        let fault = self.roster_fault.lock().unwrap_or_else(|e| e.into_inner());
-        view["roster_fault"] = serde_json::json!(*fault);
-        let figures = *self.figures.lock().unwrap_or_else(|e| e.into_inner());
+        view["roster_fault"] = serde_json::json!(*lock(&self.roster_fault));
+        let figures = *lock(&self.figures);
         view["service"] = serde_json::json!(controller.terms().service);
         view["deciding"] = serde_json::json!({
             "moments": figures.moments,
@@ -183,13 +361,31 @@
             "longest_ms": figures.longest_ms,
             "waiting": self.queue.len(),
         });
-        *asked.answer.lock().unwrap_or_else(|e| e.into_inner()) = Some(view);
+        let (tally, waiting) = {
+            let mouth = lock(&self.mouth);
+            (mouth.tally, mouth.waiting())
+        };
+        view["intake"] = serde_json::json!({
+            "reports": tally.reports,
+            "lines": tally.lines,
+            "merged": tally.merged,
+            "read": tally.read,
+            "left_unread": tally.left,
+            "refused": tally.refused,
+            "waiting": waiting,
+            "every_ms": self.report_every_ms(),
+            "rounds": figures.rounds,
+            "longest_round_ms": figures.longest_round_ms,
+            "put_off": figures.put_off,
+        });
+        *lock(&asked.answer) = Some(view);
         asked.bell.ring();
+        false
     }
 
     /// What is wrong with the roster's file, if anything is.
     pub fn roster_fault(&self, fault: Option<String>) {
-        *self.roster_fault.lock().unwrap_or_else(|e| e.into_inner()) = fault;
+        *lock(&self.roster_fault) = fault;
     }
 
     /// Ends the owner once what waits was taken.
@@ -198,10 +394,29 @@
     }
 }
 
-impl Default for Engine {
-    fn default() -> Engine {
-        Engine::new()
-    }
+/// What was read of a reporter, as an input.
+fn reported(now: f64, read: Read<Reporter, Arc<str>>) -> Input {
+    let met = read.lines.into_iter().map(|(server, l, variance)| MetLine {
+        server: server.to_string(),
+        tries: l.tries,
+        failed: l.failed,
+        good_ms: l.good_ms,
+        variance,
+        words: l.words,
+        own_queue: l.own_queue,
+        own_ms: l.own_ms,
+    });
+    let came = read
+        .came
+        .into_iter()
+        .map(|(class, n)| (class.to_string(), n));
+    let report = Report {
+        window_ms: read.end - read.begin,
+        ended_ago_ms: (now - read.end).max(0.0),
+        met: met.collect(),
+        came: came.collect(),
+    };
+    Input::Reported(read.reporter.0.to_string(), report)
 }
 
 impl Owner for Engine {
@@ -209,6 +424,42 @@
         self.queue.put(Item::Input(input)).is_ok()
     }
 
+    fn reporter(&self, proxy: &str, stream: Session, begins: bool) {
+        let reporter = (Arc::from(proxy), stream);
+        let mut mouth = lock(&self.mouth);
+        match begins {
+            true => mouth.begun(self.clock.now_ms(), reporter),
+            false => mouth.ended(&reporter),
+        }
+    }
+
+    fn report(&self, proxy: &str, stream: Session, report: Report) -> Result<(), String> {
+        let lines = report.met.into_iter().map(|m| {
+            let line = Line {
+                tries: m.tries,
+                failed: m.failed,
+                good_ms: m.good_ms,
+                words: m.words,
+                own_queue: m.own_queue,
+                own_ms: m.own_ms,
+            };
+            (Arc::from(m.server), line)
+        });
+        let came = report
+            .came
+            .into_iter()
+            .map(|(class, n)| (Arc::from(class), n));
+        let reporter = (Arc::from(proxy), stream);
+        let now = self.clock.now_ms();
+        lock(&self.mouth)
+            .put(now, &reporter, report.window_ms, lines, came)
+            .map_err(|why| format!("a report that is not taken: {why:?}"))
+    }
+
+    fn report_every_ms(&self) -> f64 {
+        f64::from_bits(self.every_ms.load(Ordering::SeqCst))
+    }
+
     fn overview(&self) -> serde_json::Value {
         let asked = Arc::new(Asked::default());
         if self.queue.put(Item::Ask(asked.clone())).is_err() {
@@ -217,7 +468,6 @@
         asked
             .bell
             .wait(Some(Instant::now() + Duration::from_secs(5)));
-        let mut answer = asked.answer.lock().unwrap_or_else(|e| e.into_inner());
-        answer.take().unwrap_or_default()
+        lock(&asked.answer).take().unwrap_or_default()
     }
 }
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -58,10 +58,10 @@
             let now = SystemTime::now().duration_since(UNIX_EPOCH);
             now.map_or(1, |d| d.as_nanos() as u64)
         });
-        let engine = Engine::new();
+        let engine = Engine::new(clock, seed, terms.report_every_ms);
         let shared: Arc<dyn Owner> = Arc::new(engine.clone());
         let shape = Shape::of(&terms, deployment.connect_ms);
-        let front = Front::new(shape, terms.report_every_ms, shared.clone(), 1);
+        let front = Front::new(shape, shared.clone(), 1);
         let patience = Duration::from_secs_f64(deployment.stream_patience_ms / 1e3);
         let limits = Limits {
             patience,
@@ -84,7 +84,7 @@
         let servers = entries.len();
         let first = vec![Input::Roster(entries)];
         let owner = engine
-            .run(clock, seed, terms, record.as_deref(), first, hand)
+            .run(seed, terms, record.as_deref(), first, hand)
             .map_err(|e| format!("the controller cannot start: {e}"))?;
         let ending = Arc::new(AtomicBool::new(false));
         let every = Duration::from_secs_f64(deployment.roster_every_ms / 1e3);
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -49,18 +49,22 @@
     let list = |v: &Value| v.as_array().cloned().unwrap_or_default();
     let _ = writeln!(
         out,
-        "\n{:<24} {:<22} {:<10} {:<9} {:>7} {:>5} {:>9}  note",
-        "server", "address", "zone", "state", "listed", "part", "line"
+        "\n{:<24} {:<22} {:<10} {:<9} {:>7} {:>5} {:>9} {:>9} {:>8}  note",
+        "server", "address", "zone", "state", "listed", "part", "line", "tries/s", "mean ms"
     );
     for s in list(&overview["servers"]) {
-        let note = if s["shut"] == json!(true) {
-            "withdrawn"
-        } else {
-            ""
-        };
+        let estimate = &s["estimate"];
+        let mut notes = Vec::new();
+        if s["shut"] == json!(true) {
+            notes.push("withdrawn");
+        }
+        if estimate["stale"] == json!(true) {
+            notes.push("its own word is doubtful");
+        }
+        let note = notes.join(", ");
         let _ = writeln!(
             out,
-            "{:<24} {:<22} {:<10} {:<9} {:>7} {:>5} {:>9}  {note}",
+            "{:<24} {:<22} {:<10} {:<9} {:>7} {:>5} {:>9} {:>9} {:>8}  {note}",
             text(&s["name"]),
             text(&s["address"]),
             text(&s["zone"]),
@@ -68,6 +72,8 @@
             text(&s["listed_weight"]),
             text(&s["part"]),
             text(&s["weight"]),
+            text(&estimate["tries_per_s"]),
+            text(&estimate["mean_ms"]),
         );
     }
     let mut held: BTreeMap<&str, [usize; 3]> = BTreeMap::new();
@@ -81,7 +87,7 @@
     }
     let _ = writeln!(
         out,
-        "\n{:<24} {:<10} {:>5} {:>10} {:>6} {:>8} {:>10}  refusal",
+        "\n{:<24} {:<10} {:>5} {:>10} {:>6} {:>8} {:>10}  note",
         "proxy", "zone", "part", "holds", "sent", "refused", "unanswered"
     );
     for p in list(&overview["proxies"]) {
@@ -93,11 +99,15 @@
             text(&p["zone"]),
             text(&p["part"]),
             text(&p["unanswered"]),
-            text(&p["refusal"]),
+            match p["contrary"] == json!(true) {
+                true => "its reports contradict all others".to_string(),
+                false => text(&p["refusal"]),
+            },
         );
     }
     let _ = writeln!(out, "\nclass ways: {}", overview["ways"]);
     let _ = writeln!(out, "channel: {}", overview["accounts"]);
     let _ = writeln!(out, "decisions: {}", overview["deciding"]);
+    let _ = writeln!(out, "intake: {}", overview["intake"]);
     out
 }
--- a/crates/intake/src/belief.rs
+++ b/crates/intake/src/belief.rs
@@ -8,6 +8,8 @@
 /// Evidence that raises a flag, in periods' worth, and the rest of it at which the flag comes down.
 const RAISED: f64 = 3.0;
 const LOWERED: f64 = 0.5;
+/// What the reports of a proxy count that contradicts all others.
+const DOUBTED: f64 = 0.25;
 /// What a period without evidence takes off.
 const FORGIVEN: f64 = 0.5;
 /// More evidence than this is not kept: a flag comes down in bounded time.
@@ -94,6 +96,16 @@
         self.proxies.get(&proxy).is_some_and(|s| s.flagged)
     }
 
+    /// What a proxy's reports count: less while they contradict all others, never nothing, since it may
+    /// be the one that is right.
+    pub fn trust(&self, proxy: usize) -> f64 {
+        if self.is_contrary(proxy) {
+            DOUBTED
+        } else {
+            1.0
+        }
+    }
+
     pub fn forget_server(&mut self, server: usize) {
         self.servers.remove(&server);
     }
--- a/crates/intake/src/estimates.rs
+++ b/crates/intake/src/estimates.rs
@@ -10,6 +10,8 @@
 const VAGUE: f64 = 0.5;
 /// ... unless so few tries were met that nothing will be decided on them anyway.
 const FEW: f64 = 8.0;
+/// What ended longer ago than so many reporting periods is no news.
+const NEWS: f64 = 4.0;
 
 /// What was met in a bucket.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -46,11 +48,16 @@
     pub age_ms: f64,
 }
 
-impl Estimate {
-    /// Too uncertain to be told: what it says could be chance alone.
-    pub fn is_vague(&self) -> bool {
-        self.tries > FEW && self.error > VAGUE * self.tries
-    }
+/// Too uncertain to be told: what it says could be chance alone. Guards against verdicts on lines that
+/// stand for many unread ones. May harm by silence: then the next round, with less unread, tells.
+pub fn is_vague(tries: f64, variance: f64) -> bool {
+    tries > FEW && BOUND * variance.max(0.0).sqrt() > VAGUE * tries
+}
+
+/// Whether what ended so long ago is still news. Guards against a burst after a stall, which would tell of
+/// a moment long gone as if it were this one. May harm where all reports come late: verdicts then wait.
+pub fn is_news(ended_ago_ms: f64, every_ms: f64) -> bool {
+    ended_ago_ms <= NEWS * every_ms
 }
 
 /// One server, as the proxies of each zone met it.
--- a/crates/intake/src/mouth.rs
+++ b/crates/intake/src/mouth.rs
@@ -83,6 +83,8 @@
 struct Reporter<K> {
     timeline: Timeline,
     waiting: BTreeMap<u64, Waiting<K>>,
+    /// Its stream has ended: what it told is read once more, then it is forgotten.
+    over: bool,
 }
 
 /// Counts since the start.
@@ -125,13 +127,21 @@
         let timeline = Timeline::begun(now);
         let waiting = self.reporters.remove(&reporter).map(|r| r.waiting);
         let waiting = waiting.unwrap_or_default();
-        self.reporters
-            .insert(reporter, Reporter { timeline, waiting });
+        self.reporters.insert(
+            reporter,
+            Reporter {
+                timeline,
+                waiting,
+                over: false,
+            },
+        );
     }
 
-    /// A stream has ended; what it told and nobody has read is forgotten with its reporter.
+    /// A stream has ended; what it told is still read.
     pub fn ended(&mut self, reporter: &R) {
-        self.reporters.remove(reporter);
+        if let Some(r) = self.reporters.get_mut(reporter) {
+            r.over = true;
+        }
     }
 
     /// Takes a report in, at once and whatever else waits.
@@ -156,7 +166,7 @@
         if lines.len() > self.most_servers {
             return refused(&mut self.tally, Refusal::TooMany);
         }
-        let Some(r) = self.reporters.get_mut(reporter) else {
+        let Some(r) = self.reporters.get_mut(reporter).filter(|r| !r.over) else {
             return refused(&mut self.tally, Refusal::Unknown);
         };
         let stretch = r.timeline.place(now, window_ms);
@@ -260,6 +270,7 @@
                 });
             }
         }
+        self.reporters.retain(|_, r| !r.over);
         out
     }
 }
--- a/crates/standins/src/sabotage.rs
+++ b/crates/standins/src/sabotage.rs
@@ -40,10 +40,11 @@
     let deployment = deployment::parse(&name, &text).map_err(|f| f.to_string())?;
     dahliapoint_daemon::cli::log(&deployment);
     let terms = deployment.terms.clone();
-    let engine = Engine::new();
+    let seed = deployment.seed.unwrap_or(1);
+    let engine = Engine::new(Clock::start(), seed, terms.report_every_ms);
     let owner: Arc<dyn Owner> = Arc::new(engine.clone());
     let shape = Shape::of(&terms, deployment.connect_ms);
-    let front = Front::new(shape, terms.report_every_ms, owner.clone(), 1);
+    let front = Front::new(shape, owner.clone(), 1);
     let server =
         Server::start(listen, Limits::default(), front.clone()).map_err(|e| e.to_string())?;
     let begun = Instant::now();
@@ -78,9 +79,7 @@
         return Err("no roster".into());
     };
     let first = vec![Input::Roster(entries)];
-    let clock = Clock::start();
-    let seed = deployment.seed.unwrap_or(1);
-    let running = engine.run(clock, seed, terms, None, first, hand);
+    let running = engine.run(seed, terms, None, first, hand);
     running.map_err(|e| e.to_string())?;
     std::fs::write(address_file, server.address().to_string()).map_err(|e| e.to_string())?;
     loop {
--- a/crates/xds/src/front.rs
+++ b/crates/xds/src/front.rs
@@ -9,7 +9,7 @@
 use crate::resources::Shape;
 use crate::session::{Answer, Flavour, Session};
 use crate::{LEDS_FEATURE, lrs, status};
-use dahliapoint_control::{Input, Output, Session as Id};
+use dahliapoint_control::{Input, Output, Report, Session as Id};
 use dahliapoint_fibers::{Bell, spawn};
 use dahliapoint_grpc::{Call, Code, Handler, Inbound, Outbound, Status};
 use std::collections::{BTreeMap, HashMap};
@@ -21,6 +21,15 @@
 pub trait Owner: Send + Sync + 'static {
     /// Puts an input into its queue, waiting for room; false once it has ended.
     fn put(&self, input: Input) -> bool;
+    /// A stream of load reports of a proxy begins, or ends; `stream` is its own number.
+    fn reporter(&self, proxy: &str, stream: Id, begins: bool);
+    /// Takes a report in, without waiting.
+    ///
+    /// # Errors
+    /// Why it is not taken.
+    fn report(&self, proxy: &str, stream: Id, report: Report) -> Result<(), String>;
+    /// How often proxies are to report now.
+    fn report_every_ms(&self) -> f64;
     /// The present state, for people.
     fn overview(&self) -> serde_json::Value;
 }
@@ -58,19 +67,16 @@
 /// The front; give it to a gRPC server as its handler.
 pub struct Front {
     shape: Arc<Shape>,
-    report_every_ms: f64,
     owner: Arc<dyn Owner>,
     streams: Mutex<Registry>,
     next: AtomicU64,
 }
 
 impl Front {
-    /// `report_every_ms` is what proxies are told to report by; `first` the first number of a stream, so
-    /// that fronts of one controller do not use each other's.
-    pub fn new(shape: Shape, report_every_ms: f64, owner: Arc<dyn Owner>, first: Id) -> Arc<Front> {
+    /// `first` is the first number of a stream, so that fronts of one controller do not use each other's.
+    pub fn new(shape: Shape, owner: Arc<dyn Owner>, first: Id) -> Arc<Front> {
         Arc::new(Front {
             shape: Arc::new(shape),
-            report_every_ms,
             owner,
             streams: Mutex::default(),
             next: AtomicU64::new(first),
@@ -216,55 +222,69 @@
             mut outbound,
             ..
         } = call;
-        let status = match self.take_loads(&mut inbound, &mut outbound) {
+        let stream = self.next.fetch_add(1, Ordering::SeqCst);
+        let mut node = String::new();
+        let status = match self.take_loads(&mut inbound, &mut outbound, stream, &mut node) {
             Ok(()) => Status::new(Code::Ok, ""),
             Err(status) => status,
         };
+        if !node.is_empty() {
+            self.owner.reporter(&node, stream, false);
+        }
         outbound.finish(&status);
     }
 
-    fn take_loads(&self, inbound: &mut Inbound, outbound: &mut Outbound) -> Result<(), Status> {
-        let mut node = String::new();
+    fn take_loads(
+        &self,
+        inbound: &mut Inbound,
+        outbound: &mut Outbound,
+        stream: Id,
+        node: &mut String,
+    ) -> Result<(), Status> {
+        let mut told = f64::NAN;
         while let Some(request) = inbound.message::<LoadStatsRequest>()? {
             if node.is_empty() {
-                node = request
-                    .node
-                    .as_ref()
-                    .map(|n| n.id.clone())
-                    .unwrap_or_default();
+                let named = request.node.as_ref().map(|n| n.id.clone());
+                *node = named.unwrap_or_default();
                 if node.is_empty() {
                     let why = "the first report of a stream names its node";
                     return Err(Status::new(Code::InvalidArgument, why));
                 }
-                let every = self.report_every_ms as i64;
-                outbound.send(&LoadStatsResponse {
-                    send_all_clusters: true,
-                    load_reporting_interval: Some(Duration {
-                        seconds: every / 1000,
-                        nanos: (every % 1000) as i32 * 1_000_000,
-                    }),
-                    report_endpoint_granularity: true,
-                    ..LoadStatsResponse::default()
-                })?;
+                self.owner.reporter(node, stream, true);
+            }
+            let wanted = self.owner.report_every_ms();
+            if told != wanted {
+                told = wanted;
+                outbound.send(&interval(wanted))?;
             }
-            let report = match lrs::read(&self.shape, &request) {
+            let taken = match lrs::read(&self.shape, &request) {
                 Ok(None) => continue,
-                Ok(Some(report)) => report,
-                Err(why) => {
-                    warn!(node, why, "a load report is refused");
-                    return Err(Status::new(Code::InvalidArgument, why));
-                }
+                Ok(Some(report)) => self.owner.report(node, stream, report),
+                Err(why) => Err(why),
             };
-            // A report that overtakes its discovery stream is of no known proxy, and is counted so.
-            let id = lock(&self.streams).by_node.get(&node).copied();
-            if !self.owner.put(Input::Reported(id.unwrap_or(0), report)) {
-                return Err(Status::new(Code::Unavailable, "the controller ends"));
+            if let Err(why) = taken {
+                warn!(node, why, "a load report is refused");
+                return Err(Status::new(Code::InvalidArgument, why));
             }
         }
         Ok(())
     }
 }
 
+/// What proxies are told of reporting.
+fn interval(every_ms: f64) -> LoadStatsResponse {
+    let every = every_ms as i64;
+    LoadStatsResponse {
+        send_all_clusters: true,
+        load_reporting_interval: Some(Duration {
+            seconds: every / 1000,
+            nanos: (every % 1000) as i32 * 1_000_000,
+        }),
+        report_endpoint_granularity: true,
+        ..LoadStatsResponse::default()
+    }
+}
+
 impl Handler for Front {
     fn call(&self, call: Call) {
         const DISCOVERY: &str = "/envoy.service.discovery.v3.AggregatedDiscoveryService/";
--- a/crates/xds/src/lrs.rs
+++ b/crates/xds/src/lrs.rs
@@ -16,6 +16,10 @@
 /// words, by their ORCA names, stand beside it.
 pub const VISIT_MS: &str = "visit_ms";
 
+/// A server's own words, by their ORCA names: visits waiting, and its recent time without waiting.
+const OWN_QUEUE: &str = "queue";
+const OWN_MS: &str = "latency_ms";
+
 /// Lines that one report may hold; more is a fault of the reporter.
 const MOST_LINES: usize = 20_000;
 
@@ -52,13 +56,22 @@
                 let times = times.filter(|m| m.metric_name == VISIT_MS);
                 let line = met.entry(server.clone()).or_insert_with(|| MetLine {
                     server,
-                    tries: 0.0,
-                    failed: 0.0,
-                    good_ms: 0.0,
+                    ..MetLine::default()
                 });
                 line.tries += good + failed;
                 line.failed += failed;
                 line.good_ms += times.map(|m| m.total_metric_value).sum::<f64>();
+                for m in &e.load_metric_stats {
+                    let answers = m.num_requests_finished_with_metric as f64;
+                    match m.metric_name.as_str() {
+                        OWN_QUEUE => line.own_queue += m.total_metric_value,
+                        OWN_MS => {
+                            line.own_ms += m.total_metric_value;
+                            line.words += answers;
+                        }
+                        _ => {}
+                    }
+                }
                 visits += e.total_issued_requests as f64;
             }
         }
