--- a/crates/standins/src/backend.rs
+++ b/crates/standins/src/backend.rs
@@ -45,6 +45,7 @@
     /// Work that came while cold: when, how much, whether by a proxy that could know.
     cold: VecDeque<(f64, f64, bool)>,
     told_load: f64,
+    told_ms: f64,
     latency_ms: f64,
 }
 
@@ -115,6 +116,7 @@
                 fallen: false,
                 cold: VecDeque::new(),
                 told_load: 0.0,
+                told_ms: 0.0,
                 latency_ms: 0.0,
             }),
             up: AtomicBool::new(true),
@@ -251,8 +253,9 @@
                 .map(|at| (at - now).max(0.0))
                 .sum::<f64>();
             state.told_load = waiting / state.latency_ms.max(1.0);
+            state.told_ms = state.latency_ms;
         }
-        (state.told_load.round(), state.latency_ms)
+        (state.told_load.round(), state.told_ms)
     }
 
     fn probed(&self) -> Fate {
--- a/crates/standins/src/day.rs
+++ b/crates/standins/src/day.rs
@@ -89,6 +89,8 @@
     pub falls_in_ms: f64,
     pub bare_ms: f64,
     pub roster_late_ms: f64,
+    /// How often the controller's estimates are set against what was really tried; 0: never.
+    pub watch_ms: f64,
     pub events: Vec<Event>,
 }
 
@@ -162,6 +164,7 @@
         falls_in_ms: at.field("falls_in").time(100.0..=60_000.0, Some(2_000.0)),
         bare_ms: at.field("bare").time(100.0..=60_000.0, Some(4_000.0)),
         roster_late_ms,
+        watch_ms: at.field("watch_estimates").time(0.0..=60_000.0, Some(0.0)),
         events,
         deployment,
     };
--- a/crates/standins/src/play.rs
+++ b/crates/standins/src/play.rs
@@ -15,8 +15,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// How often rule 1 is looked at.
@@ -220,6 +220,80 @@
     steps: Vec<(f64, Step)>,
     killed_ms: Option<f64>,
     ended_well: bool,
+    controller: SocketAddr,
+    next_watch: f64,
+    seen: Arc<Mutex<Seen>>,
+}
+
+/// The controller's estimates against what was really tried.
+#[derive(Default)]
+struct Seen {
+    /// Shares by which estimates were off, for servers with enough tries, and how many lay within the
+    /// bound that came with them and the chance of the count itself.
+    errors: Vec<f64>,
+    bounded: usize,
+    /// Servers flagged though their word was true; times until stale ones were flagged.
+    false_flags: usize,
+    flagged: HashMap<usize, f64>,
+    unanswered: usize,
+}
+
+/// Tries in a stretch from which on a server's estimate is looked at.
+const ENOUGH: f64 = 60.0;
+/// The stretch that estimates cover, and how long reports are on their way.
+const COVERED_MS: f64 = 5_000.0;
+const ON_THE_WAY_MS: f64 = 1_000.0;
+
+impl Seen {
+    fn look(&mut self, world: &World, asked: f64, overview: &Value) {
+        for server in overview["servers"].as_array().into_iter().flatten() {
+            let name = server["name"].as_str().unwrap_or_default();
+            let index = name
+                .strip_prefix("server-")
+                .and_then(|n| n.parse::<usize>().ok());
+            let (Some(index), estimate) = (index, &server["estimate"]) else {
+                continue;
+            };
+            let number = |field: &str| estimate[field].as_f64().unwrap_or(0.0);
+            let to = asked - ON_THE_WAY_MS;
+            let true_tries = world.tried_between(index, to - COVERED_MS, to);
+            if true_tries >= ENOUGH {
+                let said = number("tries_per_s") * COVERED_MS / 1e3;
+                self.errors.push((said / true_tries - 1.0).abs());
+                let bound = number("error_per_s") * COVERED_MS / 1e3 + 2.0 * true_tries.sqrt();
+                self.bounded += usize::from((said - true_tries).abs() <= bound);
+            }
+            let flagged = estimate["stale"] == json!(true);
+            let since = lock(&world.stale).get(&index).copied();
+            match (flagged, since) {
+                (true, None) => self.false_flags += 1,
+                (true, Some(at)) => {
+                    self.flagged.entry(index).or_insert(asked - at);
+                }
+                (false, _) => {}
+            }
+        }
+    }
+
+    fn report(&self, world: &World) -> Value {
+        let mut errors = self.errors.clone();
+        errors.sort_by(f64::total_cmp);
+        let at = |q: f64| {
+            errors
+                .get(((errors.len() as f64 * q) as usize).min(errors.len().max(1) - 1))
+                .copied()
+        };
+        let mut flagged: Vec<f64> = self.flagged.values().copied().collect();
+        flagged.sort_by(f64::total_cmp);
+        json!({
+            "checked": errors.len(), "tries_wanted": ENOUGH,
+            "median_error": at(0.5), "p99_error": at(0.99), "worst_error": at(1.0),
+            "within_bound": self.bounded as f64 / errors.len().max(1) as f64,
+            "stale_servers": lock(&world.stale).len(), "flagged": flagged.len(),
+            "flagged_after_ms": flagged, "false_flags": self.false_flags,
+            "unanswered": self.unanswered,
+        })
+    }
 }
 
 /// Plays a day to its end; the report.
@@ -313,6 +387,9 @@
         steps: day.events.iter().map(begin).collect(),
         killed_ms: None,
         ended_well: false,
+        controller,
+        next_watch: begun + day.watch_ms,
+        seen: Arc::default(),
     };
     let done = playing.go(begun);
     let used = playing.process.used();
@@ -333,6 +410,9 @@
         .map(|c| (c.name.clone(), c.earnings))
         .collect();
     let mut report = world.ledger.report(&classes);
+    if day.watch_ms > 0.0 {
+        report["estimates"] = lock(&playing.seen).report(&world);
+    }
     report["day"] = json!(day.name);
     report["size"] =
         json!({"servers": day.servers, "proxies": day.proxies, "seconds": day.lasts_ms / 1e3});
@@ -365,6 +445,10 @@
                 self.step(step)?;
             }
             self.look(now);
+            if self.day.watch_ms > 0.0 && now >= self.next_watch {
+                self.next_watch = now + self.day.watch_ms;
+                self.watch();
+            }
             if now >= end {
                 return Ok(());
             }
@@ -395,6 +479,18 @@
         }
     }
 
+    /// Asks the controller what it estimates, aside, and sets that against what was tried.
+    fn watch(&self) {
+        let (world, seen, to) = (self.world.clone(), self.seen.clone(), self.controller);
+        std::thread::spawn(move || {
+            let asked = world.now_ms();
+            match dahliapoint_daemon::status::fetch(to) {
+                Ok((overview, _)) => lock(&seen).look(&world, asked, &overview),
+                Err(_) => lock(&seen).unanswered += 1,
+            }
+        });
+    }
+
     fn later(&mut self, ms: f64, step: Step) {
         self.steps.push((self.world.now_ms() + ms, step));
     }
@@ -458,10 +554,15 @@
             What::Slow => self.servers(e, |f| f.slow = e.size.max(1.0)),
             What::Pause => self.servers(e, |f| f.paused_until_ms = now + e.for_ms),
             What::FailClass => self.servers(e, |f| f.class = Some(e.size as usize)),
-            What::StaleLoad => self.servers(e, |f| {
-                f.stale_load = true;
-                f.slow = e.size.max(1.0);
-            }),
+            What::StaleLoad => {
+                for s in &e.whom {
+                    lock(&self.world.stale).insert(*s, now);
+                }
+                self.servers(e, |f| {
+                    f.stale_load = true;
+                    f.slow = e.size.max(1.0);
+                });
+            }
             What::WrongRoster | What::FlapRoster => {
                 for s in &e.whom {
                     self.roster.wrong.insert(*s, "gone");
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -688,6 +688,7 @@
         };
         let took = world.now_ms() - sent;
         let good = outcome == Outcome::Good;
+        world.tried(server);
         self.count(class, server, |t| {
             if good {
                 t.good += 1;
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -1,7 +1,7 @@
 //! What the stand-ins of one day share: the clock, what the roster has told, cuts, and the rules' ledger.
 
 use crate::rules::Ledger;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -23,6 +23,10 @@
     begun: Instant,
     pub zones: Vec<String>,
     pub ledger: Ledger,
+    /// Tries that ended, by server and stretch of 250 ms.
+    tried: Mutex<HashMap<(usize, u64), f64>>,
+    /// Servers whose own word is stale, since when; first seen as flagged, after how long.
+    pub stale: Mutex<HashMap<usize, f64>>,
     /// By server.
     pub told: Mutex<Vec<Told>>,
     cuts: Mutex<BTreeSet<usize>>,
@@ -42,6 +46,8 @@
             begun: Instant::now(),
             zones,
             ledger,
+            tried: Mutex::default(),
+            stale: Mutex::default(),
             told: Mutex::new(vec![told; servers]),
             cuts: Mutex::default(),
             over: AtomicBool::new(false),
@@ -81,6 +87,19 @@
         }
     }
 
+    /// A try at a server has ended.
+    pub fn tried(&self, server: usize) {
+        let at = (self.now_ms() / 250.0) as u64;
+        *lock(&self.tried).entry((server, at)).or_default() += 1.0;
+    }
+
+    /// Tries at a server that ended in a stretch.
+    pub fn tried_between(&self, server: usize, from: f64, to: f64) -> f64 {
+        let tried = lock(&self.tried);
+        let stretch = (from / 250.0) as u64..(to / 250.0) as u64;
+        stretch.filter_map(|at| tried.get(&(server, at))).sum()
+    }
+
     pub fn end(&self) {
         self.over.store(true, Ordering::SeqCst);
     }
--- a/crates/standins/tests/days.rs
+++ b/crates/standins/tests/days.rs
@@ -81,6 +81,19 @@
     keeps("odd-proxies", &NO_COLD);
 }
 
+/// Whatever the storm, drains are heard, and estimates stay near what was tried.
+#[test]
+fn a_storm_of_reports() {
+    let report = keeps("report-storm", &NO_COLD);
+    let estimates = &report["estimates"];
+    assert!(estimates["checked"].as_u64().unwrap() > 0, "{estimates}");
+    assert!(
+        estimates["median_error"].as_f64().unwrap() < 0.2,
+        "{estimates}"
+    );
+    assert_eq!(estimates["false_flags"], 0, "{estimates}");
+}
+
 #[test]
 fn everything_in_one_day() {
     keeps("everything", &ALL);
