--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -9,6 +9,7 @@
 use dahliapoint::rules::Planner;
 use dahliapoint::{Admission, Class, Extent, Listed, Opening, Orders, Standing, Tries};
 use dahliapoint_intake::belief::Change;
+use dahliapoint_intake::coverage::Heard;
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -76,8 +77,9 @@
     pub unanswered: usize,
     pub unanswered_lines: f64,
     pub refusal: Option<String>,
-    /// Its reports contradict those of all others.
+    /// Its reports contradict those of all others; it reported once and does no more.
     pub contrary: bool,
+    pub silent: bool,
 }
 
 /// All of it at one moment.
@@ -156,7 +158,7 @@
             zones,
             classes: classes.collect(),
             ways: vec![usual; terms.classes.len()],
-            reports: Reports::new(terms.report_every_ms, terms.zones.len()),
+            reports: Reports::new(now, terms.report_every_ms, terms.zones.len()),
             now,
             planner_alarm: now,
             listed: false,
@@ -391,6 +393,7 @@
             return;
         }
         let who = (index, self.proxies[&index].zone);
+        self.reports.heard(now, index, report.window_ms);
         for m in &report.met {
             match self.servers.find(&m.server) {
                 Some(s) => {
@@ -410,7 +413,7 @@
     }
 
     fn end_round(&mut self, now: f64, out: &mut Vec<Output>) {
-        let round = self.reports.end();
+        let round = self.reports.end(now);
         self.accounts.vague += round.vague;
         round
             .met
@@ -420,6 +423,15 @@
             self.planner
                 .visits_came(c.proxy, c.class, c.visits, c.window_ms);
         }
+        for heard in round.heard {
+            let (p, word) = match heard {
+                Heard::Silent(p) => (p, "reports no more"),
+                Heard::Again(p) => (p, "reports again"),
+            };
+            if let Some(proxy) = self.proxies.get(&p) {
+                out.push(Output::Note(format!("proxy {}: {word}", proxy.name)));
+            }
+        }
         for change in round.changes {
             let note = match change {
                 Change::StaleServer(s, stale) => {
@@ -708,6 +720,7 @@
         });
         let proxies = self.proxies.iter().map(|(i, p)| ProxyView {
             contrary: self.reports.is_contrary(*i),
+            silent: self.reports.is_silent(*i),
             name: p.name.clone(),
             zone: self.terms.zones[p.zone].clone(),
             session: p.session,
--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -5,9 +5,10 @@
 use crate::{MetLine, Report};
 use dahliapoint::Met;
 use dahliapoint_intake::belief::{Belief, Change, Views, Word};
+use dahliapoint_intake::coverage::{Coverage, Heard};
 use dahliapoint_intake::estimates::{self, Estimates, Noted};
 use serde::Serialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Visits or tries that one line can honestly name; more is a fault of the reporter.
 const MOST: f64 = 1e9;
@@ -62,6 +63,8 @@
     pub age_ms: f64,
     /// Its own word does not explain what is met there.
     pub stale: bool,
+    /// Which share of those who tell of it is still heard.
+    pub heard_share: f64,
 }
 
 /// Estimates for people cover so many rounds.
@@ -91,6 +94,7 @@
     /// Sums that were too uncertain to be told.
     pub vague: u64,
     pub changes: Vec<Change>,
+    pub heard: Vec<Heard>,
 }
 
 /// The round that is filling, and what is known from those before.
@@ -98,6 +102,10 @@
     every_ms: f64,
     estimates: Estimates,
     belief: Belief,
+    coverage: Coverage,
+    /// Proxies that reported in this round, and those that are heard again.
+    reported: BTreeSet<usize>,
+    heard: Vec<Heard>,
     met: BTreeMap<(usize, usize), Sum>,
     came: BTreeMap<(usize, usize), (f64, f64)>,
     words: BTreeMap<usize, (MetLine, f64)>,
@@ -105,8 +113,11 @@
 }
 
 impl Reports {
-    pub fn new(every_ms: f64, zones: usize) -> Reports {
+    pub fn new(now: f64, every_ms: f64, zones: usize) -> Reports {
         Reports {
+            coverage: Coverage::new(now, every_ms),
+            reported: BTreeSet::new(),
+            heard: Vec::new(),
             every_ms,
             estimates: Estimates::new(every_ms, zones),
             belief: Belief::default(),
@@ -117,6 +128,13 @@
         }
     }
 
+    /// A proxy reported, with a stretch of so long.
+    pub fn heard(&mut self, now: f64, proxy: usize, window_ms: f64) {
+        let again = self.coverage.heard(now, proxy, window_ms);
+        self.heard.extend(again);
+        self.reported.insert(proxy);
+    }
+
     /// A line of a proxy's report. False if its stretch ended too long ago to be news: then it counts for
     /// the estimates of that time alone.
     pub fn met(
@@ -180,6 +198,8 @@
         self.came.retain(|(p, _), _| *p != proxy);
         self.views.remove(&proxy);
         self.belief.forget_proxy(proxy);
+        self.coverage.forget_proxy(proxy);
+        self.reported.remove(&proxy);
     }
 
     /// The index stands for another server from now on.
@@ -188,10 +208,11 @@
         self.words.remove(&server);
         self.estimates.forget(server);
         self.belief.forget_server(server);
+        self.coverage.forget_server(server);
     }
 
     /// Ends the round: what is told to decisions, and whose word has become doubtful or good again.
-    pub fn end(&mut self) -> Round {
+    pub fn end(&mut self, now: f64) -> Round {
         let mut vague = 0;
         let mut met = Vec::with_capacity(self.met.len());
         for ((server, zone), sum) in std::mem::take(&mut self.met) {
@@ -233,15 +254,33 @@
             })
             .collect();
         let mut changes = self.belief.hear_servers(&words);
-        changes.extend(self.belief.hear_proxies(&std::mem::take(&mut self.views)));
+        let views = std::mem::take(&mut self.views);
+        let reported = std::mem::take(&mut self.reported);
+        for (proxy, servers) in &views {
+            for (server, (tries, _)) in servers {
+                self.coverage.told(*proxy, *server, *tries);
+            }
+        }
+        for server in 0..self.coverage.servers() {
+            let told = |proxy: usize| views.get(&proxy).is_some_and(|v| v.contains_key(&server));
+            self.coverage.fade(server, |p| reported.contains(&p), told);
+        }
+        let mut heard = std::mem::take(&mut self.heard);
+        heard.extend(self.coverage.look(now));
+        changes.extend(self.belief.hear_proxies(&views));
         Round {
             met,
             came: came.collect(),
             vague,
             changes,
+            heard,
         }
     }
 
+    pub fn is_silent(&self, proxy: usize) -> bool {
+        self.coverage.is_silent(proxy)
+    }
+
     pub fn is_contrary(&self, proxy: usize) -> bool {
         self.belief.is_contrary(proxy)
     }
@@ -258,6 +297,7 @@
             error_per_s: e.error * per_s,
             age_ms: e.age_ms,
             stale: self.belief.is_stale(server),
+            heard_share: self.coverage.share(server),
         })
     }
 }
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -99,9 +99,10 @@
             text(&p["zone"]),
             text(&p["part"]),
             text(&p["unanswered"]),
-            match p["contrary"] == json!(true) {
-                true => "its reports contradict all others".to_string(),
-                false => text(&p["refusal"]),
+            match (&p["contrary"], &p["silent"]) {
+                (Value::Bool(true), _) => "its reports contradict all others".to_string(),
+                (_, Value::Bool(true)) => "reports no more".to_string(),
+                _ => text(&p["refusal"]),
             },
         );
     }
--- /dev/null
+++ b/crates/intake/src/coverage.rs
@@ -0,0 +1,207 @@
+//! Who tells of which server, and who has fallen silent: an index from servers to the proxies that report
+//! on them, with what each last told, so that a sum can say which part of its reporters it lacks.
+
+use crate::wheel::Wheel;
+use std::collections::BTreeMap;
+
+/// A proxy that reported is silent after so many reporting periods without a report.
+const SILENT: f64 = 6.0;
+/// What a proxy tells moves its share this far towards the new figure.
+const MOVES: f64 = 0.5;
+/// A share below this is forgotten: the proxy has another table now.
+const LEAST: f64 = 0.01;
+
+#[derive(Clone, Debug)]
+pub struct Coverage {
+    every_ms: f64,
+    wheel: Wheel<usize>,
+    /// By server: proxies in their order, and the tries in a period that each lately told.
+    servers: Vec<Vec<(usize, f64)>>,
+    silent: BTreeMap<usize, f64>,
+}
+
+/// What changed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Heard {
+    Silent(usize),
+    Again(usize),
+}
+
+impl Coverage {
+    pub fn new(now: f64, every_ms: f64) -> Coverage {
+        Coverage {
+            every_ms,
+            wheel: Wheel::new(now, every_ms),
+            servers: Vec::new(),
+            silent: BTreeMap::new(),
+        }
+    }
+
+    /// A proxy reported, at an interval that it was told to keep.
+    pub fn heard(&mut self, now: f64, proxy: usize, interval_ms: f64) -> Option<Heard> {
+        let after = SILENT * interval_ms.max(self.every_ms);
+        self.wheel.set(proxy, now + after);
+        self.silent.remove(&proxy).map(|_| Heard::Again(proxy))
+    }
+
+    /// What it told of a server, in tries a period.
+    pub fn told(&mut self, proxy: usize, server: usize, tries: f64) {
+        while self.servers.len() <= server {
+            self.servers.push(Vec::new());
+        }
+        let there = &mut self.servers[server];
+        match there.binary_search_by_key(&proxy, |(p, _)| *p) {
+            Ok(at) => there[at].1 += MOVES * (tries - there[at].1),
+            Err(at) => there.insert(at, (proxy, tries)),
+        }
+    }
+
+    /// Looks who has fallen silent; once a period.
+    pub fn look(&mut self, now: f64) -> Vec<Heard> {
+        let expired = self.wheel.expired(now);
+        self.silent.extend(expired.iter().map(|p| (*p, now)));
+        expired.into_iter().map(Heard::Silent).collect()
+    }
+
+    /// A round has ended: proxies that reported in it, but not of this server, tell less of it.
+    pub fn fade(
+        &mut self,
+        server: usize,
+        reported: impl Fn(usize) -> bool,
+        told: impl Fn(usize) -> bool,
+    ) {
+        if let Some(there) = self.servers.get_mut(server) {
+            for (proxy, tries) in there.iter_mut() {
+                if reported(*proxy) && !told(*proxy) {
+                    *tries *= 1.0 - MOVES;
+                }
+            }
+            there.retain(|(_, tries)| *tries >= LEAST);
+        }
+    }
+
+    /// Which share of a server's reporters, by what they lately told, is still heard; 1 without any.
+    pub fn share(&self, server: usize) -> f64 {
+        let there = self
+            .servers
+            .get(server)
+            .map(Vec::as_slice)
+            .unwrap_or_default();
+        let all: f64 = there.iter().map(|(_, t)| t).sum();
+        let silent = there.iter().filter(|(p, _)| self.silent.contains_key(p));
+        let missing: f64 = silent.map(|(_, t)| t).sum();
+        if all > 0.0 { 1.0 - missing / all } else { 1.0 }
+    }
+
+    pub fn is_silent(&self, proxy: usize) -> bool {
+        self.silent.contains_key(&proxy)
+    }
+
+    /// Servers known, for looking through.
+    pub fn servers(&self) -> usize {
+        self.servers.len()
+    }
+
+    pub fn forget_proxy(&mut self, proxy: usize) {
+        self.wheel.take(&proxy);
+        self.silent.remove(&proxy);
+        for there in &mut self.servers {
+            if let Ok(at) = there.binary_search_by_key(&proxy, |(p, _)| *p) {
+                there.remove(at);
+            }
+        }
+    }
+
+    pub fn forget_server(&mut self, server: usize) {
+        if let Some(there) = self.servers.get_mut(server) {
+            there.clear();
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn half_of_the_reporters_stop_and_the_sums_say_so() {
+        let mut c = Coverage::new(0.0, 500.0);
+        let mut changes = Vec::new();
+        for round in 1..60 {
+            let now = f64::from(round) * 500.0;
+            for proxy in 0..10_usize {
+                // Half stop after ten seconds and come back after twenty.
+                if proxy.is_multiple_of(2) || !(10_000.0..20_000.0).contains(&now) {
+                    changes.extend(c.heard(now, proxy, 500.0).map(|h| (now, h)));
+                    c.told(proxy, 0, 10.0);
+                }
+            }
+            let reports = |p: usize| p.is_multiple_of(2) || !(10_000.0..20_000.0).contains(&now);
+            c.fade(0, reports, reports);
+            changes.extend(c.look(now).into_iter().map(|h| (now, h)));
+            if (14_500.0..19_000.0).contains(&now) {
+                assert!((c.share(0) - 0.5).abs() < 0.1, "{} at {now}", c.share(0));
+            }
+        }
+        assert_eq!(c.share(0), 1.0);
+        let silent = changes
+            .iter()
+            .filter(|(_, h)| matches!(h, Heard::Silent(_)));
+        let times: Vec<f64> = silent.map(|(at, _)| *at).collect();
+        assert_eq!(times.len(), 5);
+        assert!(
+            times.iter().all(|at| (12_500.0..14_000.0).contains(at)),
+            "{times:?}"
+        );
+        let again = changes
+            .iter()
+            .filter(|(_, h)| matches!(h, Heard::Again(_)))
+            .count();
+        assert_eq!(again, 5);
+    }
+
+    #[test]
+    fn a_wheel_expires_what_a_plain_map_would() {
+        let mut wheel = Wheel::new(0.0, 10.0);
+        let mut plain: BTreeMap<u32, f64> = BTreeMap::new();
+        let mut state = 7_u64;
+        let mut draw = move |n: u64| {
+            state = state
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1);
+            (state >> 33) % n
+        };
+        let mut now = 0.0;
+        for _ in 0..20_000 {
+            now += draw(40) as f64 / 4.0;
+            let what = draw(50) as u32;
+            match draw(5) {
+                0 => {
+                    assert_eq!(wheel.take(&what), plain.remove(&what).is_some());
+                }
+                // Near, and further than the wheel goes round.
+                1..=3 => {
+                    let at = now + draw(9_000) as f64;
+                    wheel.set(what, at);
+                    plain.insert(what, at);
+                }
+                _ => {
+                    // What is due in the slot that is still open expires with it.
+                    let mut gone = wheel.expired(now);
+                    let slot = (now / 10.0).floor() * 10.0;
+                    let due = |(w, at): (&u32, &f64)| (*at <= slot).then_some(*w);
+                    let surely: Vec<u32> = plain.iter().filter_map(due).collect();
+                    assert!(
+                        surely.iter().all(|w| gone.contains(w)),
+                        "{surely:?} {gone:?}"
+                    );
+                    assert!(gone.iter().all(|w| plain[w] <= now));
+                    for w in gone.drain(..) {
+                        plain.remove(&w);
+                    }
+                }
+            }
+            assert_eq!(wheel.len(), plain.len());
+        }
+    }
+}
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -5,13 +5,15 @@
 //! - [`sampling`] chooses what is read when more came than can be, so that sums stay true on average;
 //! - [`estimates`] keeps what was met by server, with an age and an error bound;
 //! - [`belief`] sets a server's own word against what proxies met, and a proxy's against all others';
+//! - [`coverage`] knows who tells of which server, and who has fallen silent;
 //! - [`pace`] moves the reporting interval before anything has to be left unread;
-//! - [`sketch`] and [`ring`] are the structures under them.
+//! - [`sketch`], [`ring`] and [`wheel`] are the structures under them.
 //!
 //! Times are milliseconds on one clock that never goes back; servers and reporters are small indices
 //! that the caller hands out, but for the mouth, whose keys are the caller's.
 
 pub mod belief;
+pub mod coverage;
 pub mod estimates;
 pub mod mouth;
 pub mod pace;
@@ -19,3 +21,4 @@
 pub mod sampling;
 pub mod sketch;
 pub mod timeline;
+pub mod wheel;
