Intake: what does not fit waits and merges first; sampling by size, by reporter and by server

Now what does not fit waits, oldest first, merging with what comes while it is news; only then is it sampled, half of the room by reporter and half by server. Estimates cover whole buckets that end where reports are complete.

--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -288,7 +288,7 @@
     pub fn view(&self, now: f64, server: usize) -> Option<EstimateView> {
         let span = SHOWN * self.every_ms;
         let e = self.estimates.of(now, server, span)?;
-        let per_s = 1e3 / (span + self.every_ms / 2.0);
+        let per_s = 1e3 / span;
         Some(EstimateView {
             tries_per_s: e.tries * per_s,
             failed_share: e.failed / e.tries,
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -271,7 +271,7 @@
         let room = (per_ms * work.every_ms).max(1.0) as usize;
         let (read, tally) = {
             let mut mouth = lock(&self.mouth);
-            (mouth.read(room), mouth.tally)
+            (mouth.read(now, room), mouth.tally)
         };
         let came = (tally.lines - work.lines_before) as f64;
         work.lines_before = tally.lines;
--- a/crates/intake/benches/structures.rs
+++ b/crates/intake/benches/structures.rs
@@ -85,7 +85,7 @@
                 for t in &at {
                     black_box(ring.add(*t, *t, &Count(1.0)));
                 }
-                black_box(ring.sum(10_000.0, 5_000.0))
+                black_box(ring.sum(10_000.0, 5_000.0, 0))
             });
         });
         group.bench_function(BenchmarkId::new("queue of lines", n), |b| {
@@ -160,7 +160,7 @@
                     let lines = (0..10).map(|s| (s, line));
                     let _ = mouth.put(now, &(i % 50), 10.0, lines, std::iter::empty());
                 }
-                black_box(mouth.read(10_000))
+                black_box(mouth.read(500.0, 10_000))
             });
         });
         group.bench_function(BenchmarkId::new("queue of reports", n), |b| {
--- a/crates/intake/src/estimates.rs
+++ b/crates/intake/src/estimates.rs
@@ -12,6 +12,8 @@
 const FEW: f64 = 8.0;
 /// What ended longer ago than so many reporting periods is no news.
 const NEWS: f64 = 4.0;
+/// Buckets before the one that is filling whose reports are still on their way.
+const ON_THE_WAY: u64 = 1;
 
 /// What was met in a bucket.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -34,7 +36,7 @@
     }
 }
 
-/// An estimate over a span that ends now.
+/// An estimate over a span that ends where reports are complete.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Estimate {
     pub tries: f64,
@@ -149,11 +151,14 @@
         }
     }
 
-    /// What was met at a server over a span, by all zones; none if nothing was.
+    /// What was met at a server over a span of whole buckets, by all zones; none if nothing was. The span
+    /// ends where reports are complete.
     pub fn of(&self, now: f64, server: usize, span_ms: f64) -> Option<Estimate> {
         let rings = &self.servers.get(server)?.zones;
         let mut sum = Met::default();
-        rings.iter().for_each(|r| sum.add(&r.sum(now, span_ms)));
+        rings
+            .iter()
+            .for_each(|r| sum.add(&r.sum(now, span_ms, ON_THE_WAY)));
         let newest = rings
             .iter()
             .filter_map(|r| r.newest(now))
--- a/crates/intake/src/mouth.rs
+++ b/crates/intake/src/mouth.rs
@@ -5,10 +5,15 @@
 //! How it is called: [`Mouth::begun`] and [`Mouth::ended`] for each stream, [`Mouth::put`] for each report,
 //! [`Mouth::read`] by the owner once a period, with the lines that it has room for.
 
-use crate::sampling::{Chance, fate, quota, threshold};
+use crate::sampling::{Chance, fate, odds, quota, threshold};
 use crate::timeline::Timeline;
 use std::collections::BTreeMap;
 
+/// What waits is read, in whole or sampled, before its beginning is older than so many buckets: its end is
+/// news until then.
+const PATIENCE: f64 = 3.0;
+/// Under pressure, stretches that ended within so many buckets are merged into one, older ones into another.
+const NEWS: f64 = 4.0;
 /// Buckets of stretches that may wait for one reporter; the oldest are merged into one.
 const BUCKETS: usize = 8;
 
@@ -228,32 +233,99 @@
         self.reporters.values().map(Reporter::lines).sum()
     }
 
-    /// Reads what waits, at most about so many lines; the rest is stood for.
-    pub fn read(&mut self, room: usize) -> Vec<Read<R, K>> {
-        let wanted: Vec<usize> = self.reporters.values().map(Reporter::lines).collect();
-        let all: usize = wanted.iter().sum();
-        let each = if all <= room {
-            usize::MAX
+    /// Reads what waits, about so many lines at the most. First the rules of waiting, then of sampling: what
+    /// has waited longest is read first and whole; what does not fit waits, merging with what comes, while
+    /// it is news; only when more than fits has waited that long is it sampled.
+    pub fn read(&mut self, now: f64, room: usize) -> Vec<Read<R, K>> {
+        if self.waiting() > room {
+            // What is told of one time and the next is told once: lines are saved before any is left.
+            let news = ((now - NEWS * self.bucket_ms).max(0.0) / self.bucket_ms) as u64;
+            for r in self.reporters.values_mut() {
+                r.collapse(news, &mut self.tally);
+            }
+        }
+        let mut order: Vec<(f64, R, usize)> = self
+            .reporters
+            .iter()
+            .filter_map(|(name, r)| Some((r.oldest()?, name.clone(), r.lines())))
+            .collect();
+        order.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
+        let late = now - PATIENCE * self.bucket_ms;
+        let must: Vec<usize> = order.iter().filter(|o| o.0 <= late).map(|o| o.2).collect();
+        let mut out = Vec::new();
+        if must.iter().sum::<usize>() > room {
+            self.sample(&order[..must.len()], &must, room, &mut out);
         } else {
-            quota(&wanted, room)
+            let mut left = room;
+            for (_, name, lines) in order {
+                // One that is larger than the room by itself is read when it is alone.
+                if lines > left && left < room {
+                    break;
+                }
+                left = left.saturating_sub(lines);
+                self.read_whole(&name, &mut out);
+            }
+        }
+        self.reporters
+            .retain(|_, r| !(r.over && r.waiting.is_empty()));
+        out
+    }
+
+    fn read_whole(&mut self, name: &R, out: &mut Vec<Read<R, K>>) {
+        let Some(r) = self.reporters.get_mut(name) else {
+            return;
         };
-        let mut out = Vec::new();
-        for (name, r) in &mut self.reporters {
-            if r.waiting.is_empty() {
-                continue;
+        for (_, waiting) in std::mem::take(&mut r.waiting) {
+            self.tally.read += waiting.lines.len() as u64;
+            let lines = waiting.lines.into_iter().map(|(s, l)| (s, l, 0.0));
+            out.push(Read {
+                reporter: name.clone(),
+                begin: waiting.begin,
+                end: waiting.end,
+                lines: lines.collect(),
+                came: waiting.came.into_iter().collect(),
+            });
+        }
+    }
+
+    fn sample(
+        &mut self,
+        order: &[(f64, R, usize)],
+        wanted: &[usize],
+        room: usize,
+        out: &mut Vec<Read<R, K>>,
+    ) {
+        let each = quota(wanted, room / 2);
+        let sizes = |r: &Reporter<K>| -> Vec<f64> {
+            let lines = r.waiting.values().flat_map(|w| w.lines.values());
+            lines.map(|l| l.tries).collect()
+        };
+        let mut by_server: BTreeMap<K, Vec<f64>> = BTreeMap::new();
+        for r in order.iter().filter_map(|o| self.reporters.get(&o.1)) {
+            for (server, line) in r.waiting.values().flat_map(|w| &w.lines) {
+                by_server
+                    .entry(server.clone())
+                    .or_default()
+                    .push(line.tries);
             }
-            let level = match r.lines() > each {
-                false => 0.0,
-                true => {
-                    let lines = r.waiting.values().flat_map(|w| w.lines.values());
-                    let sizes: Vec<f64> = lines.map(|l| l.tries).collect();
-                    threshold(&sizes, each)
-                }
+        }
+        let many: Vec<usize> = by_server.values().map(Vec::len).collect();
+        let of_each = quota(&many, room / 2);
+        let by_server: BTreeMap<K, f64> = by_server
+            .into_iter()
+            .map(|(server, sizes)| (server, threshold(&sizes, of_each)))
+            .collect();
+        for (_, name, _) in order {
+            let Some(r) = self.reporters.get_mut(name) else {
+                continue;
             };
+            let own = threshold(&sizes(r), each);
             for (_, waiting) in std::mem::take(&mut r.waiting) {
                 let mut lines = Vec::with_capacity(waiting.lines.len());
                 for (server, line) in waiting.lines {
-                    match fate(line.tries, level, &mut self.chance) {
+                    let level = by_server.get(&server).copied().unwrap_or(0.0);
+                    let odds = odds(line.tries, own).max(odds(line.tries, level));
+                    match fate(line.tries, odds, &mut self.chance) {
                         Some((factor, variance)) => {
                             self.tally.read += 1;
                             lines.push((server, line.times(factor), variance));
@@ -270,12 +342,42 @@
                 });
             }
         }
-        self.reporters.retain(|_, r| !r.over);
-        out
     }
 }
 
 impl<K> Reporter<K> {
+    /// Merges all stretches from a bucket on into the newest, and all before into the newest of those.
+    fn collapse(&mut self, news: u64, tally: &mut Tally)
+    where
+        K: Ord,
+    {
+        let fresh = self.waiting.split_off(&news);
+        let old = std::mem::take(&mut self.waiting);
+        for part in [old, fresh] {
+            let mut stretches = part.into_iter().rev();
+            let Some((bucket, mut sum)) = stretches.next() else {
+                continue;
+            };
+            for (_, w) in stretches {
+                sum.begin = sum.begin.min(w.begin);
+                sum.end = sum.end.max(w.end);
+                for (server, line) in w.lines {
+                    tally.merged += u64::from(sum.lines.contains_key(&server));
+                    sum.lines.entry(server).or_default().add(&line);
+                }
+                for (class, visits) in w.came {
+                    *sum.came.entry(class).or_default() += visits;
+                }
+            }
+            self.waiting.insert(bucket, sum);
+        }
+    }
+
+    /// When the oldest stretch that waits began.
+    fn oldest(&self) -> Option<f64> {
+        self.waiting.values().next().map(|w| w.begin)
+    }
+
     fn lines(&self) -> usize {
         self.waiting.values().map(|w| w.lines.len()).sum()
     }
--- a/crates/intake/src/ring.rs
+++ b/crates/intake/src/ring.rs
@@ -47,13 +47,13 @@
         true
     }
 
-    /// The sum over a span that ends now.
-    pub fn sum(&self, now: f64, span_ms: f64) -> T {
-        let newest = self.bucket(now);
-        let oldest = self.bucket(now - span_ms);
+    /// The sum over a span of whole buckets that ends so many buckets before the one that is filling.
+    pub fn sum(&self, now: f64, span_ms: f64, back: u64) -> T {
+        let many = (span_ms / self.bucket_ms).round().max(1.0) as u64;
+        let end = self.bucket(now).saturating_sub(back);
+        let within = end.saturating_sub(many)..end;
         let mut sum = T::default();
-        let within = |n: &u64| *n <= newest && *n >= oldest;
-        let there = self.slots.iter().filter(|(n, _)| within(n));
+        let there = self.slots.iter().filter(|(n, _)| within.contains(n));
         there.for_each(|(_, what)| sum.add(what));
         sum
     }
--- a/crates/intake/src/sampling.rs
+++ b/crates/intake/src/sampling.rs
@@ -2,11 +2,11 @@
 //! and what is kept stands for what is not: sums over lines stay true on average, and their variance is
 //! carried along.
 //!
-//! The rule, read aloud: every reporter has the same quota of lines, and what one does not use goes to the
-//! others. A reporter within its quota is read whole. Beyond it, a line of at least the reporter's
-//! threshold is read as it is; a smaller one is read with the chance of its size over the threshold, and
-//! then counts as if it were the threshold. So no server that is much used goes unread, and a loud reporter
-//! takes nothing from a quiet one.
+//! The rule, read aloud: half of the room is shared by reporters alike, the other half by servers alike;
+//! what one does not use goes to the others. In each share a line of at least the threshold is kept, a
+//! smaller one with the chance of its size over the threshold; the better of its two chances counts, and it
+//! then stands for so many. So no server and no reporter goes unheard, and a loud one takes nothing from
+//! the quiet.
 
 /// Multiply with carry: numbers from 0 to 1, from a seed.
 #[derive(Clone, Debug)]
@@ -63,14 +63,22 @@
     0.0
 }
 
-/// A line's fate: the factor that its counts are taken with, and the variance that this brings to its
-/// size; none if it is not read.
-pub fn fate(size: f64, threshold: f64, chance: &mut Chance) -> Option<(f64, f64)> {
-    if size >= threshold {
+/// The chance with which a line of that size is kept, by a threshold.
+pub fn odds(size: f64, threshold: f64) -> f64 {
+    match size >= threshold {
+        true => 1.0,
+        false if threshold.is_finite() => (size / threshold).max(0.0),
+        false => 0.0,
+    }
+}
+
+/// A line's fate with a chance: the factor that its counts are taken with, and the variance that this
+/// brings to its size; none if it is not read.
+pub fn fate(size: f64, odds: f64, chance: &mut Chance) -> Option<(f64, f64)> {
+    if odds >= 1.0 {
         return Some((1.0, 0.0));
     }
-    let odds = size / threshold;
-    let kept = size > 0.0 && threshold.is_finite() && chance.draw() < odds;
     // Unbiased for the variance of the sum: what was kept stands for what was not there too.
-    kept.then(|| (1.0 / odds, threshold * (threshold - size)))
+    let kept = size > 0.0 && chance.draw() < odds;
+    kept.then(|| (1.0 / odds, size * size * (1.0 - odds) / (odds * odds)))
 }
--- a/crates/intake/tests/intake.rs
+++ b/crates/intake/tests/intake.rs
@@ -5,7 +5,7 @@
 use dahliapoint_intake::estimates::{Estimates, Noted};
 use dahliapoint_intake::mouth::{Line, Mouth, Refusal};
 use dahliapoint_intake::pace::Interval;
-use dahliapoint_intake::sampling::{Chance, fate, quota, threshold};
+use dahliapoint_intake::sampling::{Chance, fate, odds, quota, threshold};
 use dahliapoint_intake::sketch::{ERROR, Sketch};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -45,7 +45,7 @@
     for _ in 0..500 {
         let (mut sum, mut variance) = (0.0, 0.0);
         for size in &sizes {
-            if let Some((factor, v)) = fate(*size, level, &mut chance) {
+            if let Some((factor, v)) = fate(*size, odds(*size, level), &mut chance) {
                 sum += size * factor;
                 variance += v;
                 kept += 1;
@@ -88,10 +88,11 @@
         )
         .unwrap();
     assert!(mouth.waiting() <= 8 * 10 + 1, "{}", mouth.waiting());
-    let read = mouth.read(1_000);
+    let read = mouth.read(10_000.0, 1_000);
     let tries: f64 = read.iter().flat_map(|r| &r.lines).map(|l| l.1.tries).sum();
     assert_eq!(tries, 1_000_007.0, "merged, not lost");
-    assert_eq!(read.last().unwrap().lines, [(3, line(7.0, 7.0, 0.0), 0.0)]);
+    let quiet = read.iter().find(|r| r.reporter == 2).unwrap();
+    assert_eq!(quiet.lines, [(3, line(7.0, 7.0, 0.0), 0.0)]);
     assert_eq!(mouth.waiting(), 0);
     // Refused, and nothing else is disturbed.
     let many = (0..51).map(|s| (s, Line::default()));
@@ -116,6 +117,32 @@
     assert_eq!(put(&mut mouth, 1, 1.0), Err(Refusal::Unknown));
 }
 
+#[test]
+fn what_does_not_fit_waits_and_merges_before_it_is_sampled() {
+    // A hundred reporters, ten lines each, and room for a third of that in a round.
+    let mut mouth: Mouth<u64, usize> = Mouth::new(500.0, 50, 1);
+    (0..100).for_each(|r| mouth.begun(0.0, r));
+    let mut told = 0.0;
+    let mut heard = 0.0;
+    for round in 1..41 {
+        let now = f64::from(round) * 500.0;
+        for r in 0..100 {
+            let lines = (0..10).map(|s| (s, line(2.0, 0.0, 9.0)));
+            mouth
+                .put(now, &r, 500.0, lines, std::iter::empty())
+                .unwrap();
+            told += 20.0;
+        }
+        let read = mouth.read(now, 400);
+        let reporters: std::collections::BTreeSet<u64> = read.iter().map(|r| r.reporter).collect();
+        assert!(reporters.len() >= 13, "{}", reporters.len());
+        let lines = read.iter().flat_map(|r| &r.lines);
+        heard += lines.map(|l| l.1.tries).sum::<f64>();
+    }
+    // Sums stay true: what is not heard yet waits.
+    assert!((heard / told - 1.0).abs() < 0.15, "{heard} of {told}");
+}
+
 #[test]
 fn a_burst_after_a_stall_is_no_load_of_this_moment() {
     let mut mouth: Mouth<u64, usize> = Mouth::new(500.0, 50, 1);
@@ -133,7 +160,7 @@
         );
         assert_eq!(put, Ok(()), "{i}");
     }
-    for r in mouth.read(1000) {
+    for r in mouth.read(30_000.0, 1000) {
         for (server, l, variance) in r.lines {
             estimates.note(
                 30_000.0,
@@ -158,6 +185,7 @@
     );
     assert!(now.age_ms <= 500.0);
     let later = estimates.of(31_500.0, 0, 10_000.0).unwrap();
+    assert!((150.0..=200.0).contains(&later.tries), "{later:?}");
     assert!(later.age_ms >= 1_000.0, "{later:?}");
 }
 
@@ -351,7 +379,7 @@
             }
             let l = line(tries, tries * part, tries * (1.0 - part) * 12.0);
             let _ = mouth.put(now, &reporter, window, [(server, l)].into_iter(), [(0, tries)].into_iter());
-            for r in mouth.read(room) {
+            for r in mouth.read(now, room) {
                 prop_assert!(r.begin <= r.end && r.end <= now + 1e-6);
                 for (server, l, variance) in r.lines {
                     let zone = reporter as usize % 2;
@@ -370,8 +398,12 @@
                 }
             }
         }
-        let t = mouth.tally;
+        // What waits is read, whole or sampled, once it must be.
+        for later in 1..50 {
+            mouth.read(now + 2_000.0 * f64::from(later), room);
+        }
         prop_assert_eq!(mouth.waiting(), 0);
+        let t = mouth.tally;
         prop_assert!(t.read + t.left + t.merged <= t.lines);
     }
 }
