Estimates by server and class, in status too

Many servers may fail one class and serve the others; sums by server hide that. Lines of reports carry their class from the front to the estimates, status tells tries, failing share and mean time by class. What the planner is told stays by server. A class that the terms do not have is counted as unknown.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -2,7 +2,7 @@
 
 use crate::accounts::{Accounts, Outstanding, Sent};
 use crate::membership::{self, Deed, Member, Patience};
-use crate::reports::{EstimateView, Reports, fault_of};
+use crate::reports::{ClassView, EstimateView, Reports, fault_of};
 use crate::servers::Servers;
 use crate::{AdminState, Entry, FurtherTry, Input, Line, LineState, Message, Output, Report};
 use crate::{Scope, Session, Terms, Way};
@@ -65,6 +65,7 @@
     pub weight: f64,
     pub shut: bool,
     pub estimate: Option<EstimateView>,
+    pub by_class: Vec<ClassView>,
 }
 
 /// A proxy as an operator wants to see it.
@@ -158,7 +159,12 @@
             zones,
             classes: classes.collect(),
             ways: vec![usual; terms.classes.len()],
-            reports: Reports::new(now, terms.report_every_ms, terms.zones.len()),
+            reports: Reports::new(
+                now,
+                terms.report_every_ms,
+                terms.zones.len(),
+                terms.classes.len(),
+            ),
             now,
             planner_alarm: now,
             listed: false,
@@ -395,7 +401,8 @@
         let who = (index, self.proxies[&index].zone);
         self.reports.heard(now, index, report.window_ms);
         for m in &report.met {
-            match self.servers.find(&m.server) {
+            let known = m.class < self.terms.classes.len();
+            match self.servers.find(&m.server).filter(|_| known) {
                 Some(s) => {
                     self.accounts.report_lines += 1;
                     let news = self.reports.met(now, who, s, report, m);
@@ -709,6 +716,7 @@
     pub fn overview(&self) -> Overview {
         let servers = self.servers.known().map(|(i, s)| ServerView {
             estimate: self.reports.view(self.now, i),
+            by_class: self.reports.class_views(self.now, i),
             name: s.name.clone(),
             address: s.address.clone(),
             zone: self.terms.zones[s.zone].clone(),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use accounts::Accounts;
 pub use controller::{Controller, Overview, ProxyView, ServerView};
-pub use reports::{EstimateView, fault_of};
+pub use reports::{ClassView, EstimateView, fault_of};
 
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -91,11 +91,13 @@
     pub started: Option<(f64, u64)>,
 }
 
-/// What a proxy met at a server, over all classes or for one.
+/// What a proxy met at a server with the visits of one class.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct MetLine {
     /// Name or address.
     pub server: String,
+    /// The class, by its place in the terms.
+    pub class: usize,
     pub tries: f64,
     pub failed: f64,
     /// Summed time of the tries that did not fail.
--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -67,6 +67,15 @@
     pub heard_share: f64,
 }
 
+/// What is estimated of one class at a server.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ClassView {
+    pub class: usize,
+    pub tries_per_s: f64,
+    pub failed_share: f64,
+    pub mean_ms: f64,
+}
+
 /// Estimates for people cover so many rounds.
 const SHOWN: f64 = 10.0;
 
@@ -100,6 +109,8 @@
 /// The round that is filling, and what is known from those before.
 pub struct Reports {
     every_ms: f64,
+    classes: usize,
+    /// By server and class.
     estimates: Estimates,
     belief: Belief,
     coverage: Coverage,
@@ -113,8 +124,9 @@
 }
 
 impl Reports {
-    pub fn new(now: f64, every_ms: f64, zones: usize) -> Reports {
+    pub fn new(now: f64, every_ms: f64, zones: usize, classes: usize) -> Reports {
         Reports {
+            classes,
             coverage: Coverage::new(now, every_ms),
             reported: BTreeSet::new(),
             heard: Vec::new(),
@@ -152,7 +164,7 @@
         self.estimates.note(
             now,
             &Noted {
-                server,
+                server: server * self.classes + m.class,
                 zone,
                 begin,
                 end,
@@ -206,7 +218,8 @@
     pub fn forget_server(&mut self, server: usize) {
         self.met.retain(|(s, _), _| *s != server);
         self.words.remove(&server);
-        self.estimates.forget(server);
+        let places = self.places(server);
+        places.for_each(|place| self.estimates.forget(place));
         self.belief.forget_server(server);
         self.coverage.forget_server(server);
     }
@@ -285,9 +298,29 @@
         self.belief.is_contrary(proxy)
     }
 
+    fn places(&self, server: usize) -> std::ops::Range<usize> {
+        server * self.classes..(server + 1) * self.classes
+    }
+
+    /// By class, those that were met.
+    pub fn class_views(&self, now: f64, server: usize) -> Vec<ClassView> {
+        let span = SHOWN * self.every_ms;
+        let places = self.places(server).enumerate();
+        let views = places.filter_map(|(class, place)| {
+            let e = self.estimates.of(now, place, span)?;
+            Some(ClassView {
+                class,
+                tries_per_s: e.tries * 1e3 / span,
+                failed_share: e.failed / e.tries,
+                mean_ms: e.mean_ms,
+            })
+        });
+        views.collect()
+    }
+
     pub fn view(&self, now: f64, server: usize) -> Option<EstimateView> {
         let span = SHOWN * self.every_ms;
-        let e = self.estimates.of(now, server, span)?;
+        let e = self.estimates.of_all(now, self.places(server), span)?;
         let per_s = 1e3 / span;
         Some(EstimateView {
             tries_per_s: e.tries * per_s,
--- a/crates/control/tests/controller.rs
+++ b/crates/control/tests/controller.rs
@@ -405,6 +405,24 @@
     let accounts = day.controller.overview().accounts;
     assert_eq!((accounts.report_lines, accounts.unknown_lines), (1, 1));
     assert_eq!(accounts.refused_reports, 6);
+    // A class that the terms do not have: counted as unknown, nothing else.
+    let odd = MetLine {
+        class: 9,
+        ..line("a", 1.0, 0.0, 1.0)
+    };
+    day.tell(vec![Input::Reported("p1".into(), report(odd))]);
+    assert_eq!(day.controller.overview().accounts.unknown_lines, 2);
+    // What was met is told by class once the round has ended and its stretch is complete.
+    day.now += 1500.0;
+    day.tell(vec![Input::RoundEnds]);
+    let view = day.controller.overview();
+    let a = view.servers.iter().find(|s| &*s.name == "a").unwrap();
+    assert_eq!((a.by_class.len(), a.by_class[0].class), (1, 0));
+    assert!(
+        (a.by_class[0].failed_share - 0.1).abs() < 1e-9,
+        "{:?}",
+        a.by_class
+    );
     let long = Report {
         window_ms: 1e9,
         ..report(line("a", 1.0, 0.0, 1.0))
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -83,12 +83,15 @@
 /// A reporter: the proxy's name, and the number of its stream.
 type Reporter = (Arc<str>, Session);
 
+/// What a line is of: a server's address and a class; or, for what came, a class's name alone.
+type Place = (Arc<str>, usize);
+
 /// The way to the owner; clones are the same.
 #[derive(Clone)]
 pub struct Engine {
     clock: Clock,
     queue: Queue<Item>,
-    mouth: Arc<Mutex<Mouth<Reporter, Arc<str>>>>,
+    mouth: Arc<Mutex<Mouth<Reporter, Place>>>,
     /// The reporting interval that proxies are told, as the bits of a number.
     every_ms: Arc<AtomicU64>,
     roster_fault: Arc<Mutex<Option<String>>>,
@@ -119,7 +122,7 @@
     every_ms: f64,
     next_round: f64,
     /// The round being read, what it began with, and its piece of work.
-    unread: VecDeque<Read<Reporter, Arc<str>>>,
+    unread: VecDeque<Read<Reporter, Place>>,
     reading: Option<(Id, f64)>,
     lines_before: u64,
     asked: Vec<(Id, Arc<Asked>)>,
@@ -395,21 +398,25 @@
 }
 
 /// What was read of a reporter, as an input.
-fn reported(now: f64, read: Read<Reporter, Arc<str>>) -> Input {
-    let met = read.lines.into_iter().map(|(server, l, variance)| MetLine {
-        server: server.to_string(),
-        tries: l.tries,
-        failed: l.failed,
-        good_ms: l.good_ms,
-        variance,
-        words: l.words,
-        own_queue: l.own_queue,
-        own_ms: l.own_ms,
-    });
+fn reported(now: f64, read: Read<Reporter, Place>) -> Input {
+    let met = read
+        .lines
+        .into_iter()
+        .map(|((server, class), l, variance)| MetLine {
+            server: server.to_string(),
+            class,
+            tries: l.tries,
+            failed: l.failed,
+            good_ms: l.good_ms,
+            variance,
+            words: l.words,
+            own_queue: l.own_queue,
+            own_ms: l.own_ms,
+        });
     let came = read
         .came
         .into_iter()
-        .map(|(class, n)| (class.to_string(), n));
+        .map(|((class, _), n)| (class.to_string(), n));
     let report = Report {
         window_ms: read.end - read.begin,
         ended_ago_ms: (now - read.end).max(0.0),
@@ -443,12 +450,12 @@
                 own_queue: m.own_queue,
                 own_ms: m.own_ms,
             };
-            (Arc::from(m.server), line)
+            ((Arc::from(m.server), m.class), line)
         });
         let came = report
             .came
             .into_iter()
-            .map(|(class, n)| (Arc::from(class), n));
+            .map(|(class, n)| ((Arc::from(class), 0), n));
         let reporter = (Arc::from(proxy), stream);
         let now = self.clock.now_ms();
         lock(&self.mouth)
--- a/crates/intake/src/estimates.rs
+++ b/crates/intake/src/estimates.rs
@@ -3,6 +3,7 @@
 
 use crate::ring::{Ring, Sum};
 use crate::sketch::Sketch;
+use std::ops::Range;
 
 /// An error bound is so many standard deviations: it holds in 19 of 20 cases.
 const BOUND: f64 = 2.0;
@@ -154,15 +155,17 @@
     /// What was met at a server over a span of whole buckets, by all zones; none if nothing was. The span
     /// ends where reports are complete.
     pub fn of(&self, now: f64, server: usize, span_ms: f64) -> Option<Estimate> {
-        let rings = &self.servers.get(server)?.zones;
+        self.of_all(now, server..server + 1, span_ms)
+    }
+
+    /// The same over several places together, as the classes of one server.
+    pub fn of_all(&self, now: f64, places: Range<usize>, span_ms: f64) -> Option<Estimate> {
+        let end = places.end.min(self.servers.len());
+        let there = self.servers.get(places.start..end)?;
+        let rings = || there.iter().flat_map(|s| &s.zones);
         let mut sum = Met::default();
-        rings
-            .iter()
-            .for_each(|r| sum.add(&r.sum(now, span_ms, ON_THE_WAY)));
-        let newest = rings
-            .iter()
-            .filter_map(|r| r.newest(now))
-            .reduce(f64::max)?;
+        rings().for_each(|r| sum.add(&r.sum(now, span_ms, ON_THE_WAY)));
+        let newest = rings().filter_map(|r| r.newest(now)).reduce(f64::max)?;
         let good = (sum.tries - sum.failed).max(0.0);
         (sum.tries > 0.0).then(|| Estimate {
             tries: sum.tries,
--- a/crates/xds/src/lrs.rs
+++ b/crates/xds/src/lrs.rs
@@ -29,7 +29,7 @@
 /// A sentence about what no proxy can have met.
 pub fn read(shape: &Shape, request: &LoadStatsRequest) -> Result<Option<Report>, String> {
     let mut report = Report::default();
-    let mut met: BTreeMap<String, MetLine> = BTreeMap::new();
+    let mut met: BTreeMap<(String, usize), MetLine> = BTreeMap::new();
     let mut lines = 0;
     for cluster in &request.cluster_stats {
         let interval = cluster.load_report_interval.as_ref();
@@ -54,8 +54,10 @@
                 let failed = e.total_error_requests as f64;
                 let times = e.load_metric_stats.iter();
                 let times = times.filter(|m| m.metric_name == VISIT_MS);
-                let line = met.entry(server.clone()).or_insert_with(|| MetLine {
+                let place = (server.clone(), class);
+                let line = met.entry(place).or_insert_with(|| MetLine {
                     server,
+                    class,
                     ..MetLine::default()
                 });
                 line.tries += good + failed;
