Visits under way by server, from each proxy's newest word

How full a server is shows in the visits that proxies have out there, before times do. Reports carry the gauge from the front to status; a merged report keeps the newest word, since words do not add up, and a proxy's newer report replaces its older one.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -108,6 +108,8 @@
     pub words: f64,
     pub own_queue: f64,
     pub own_ms: f64,
+    /// Visits under way at the end of the stretch.
+    pub in_flight: f64,
 }
 
 /// A load report of one proxy.
--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -28,7 +28,7 @@
         return Some("a report that ends in the future".into());
     }
     for m in &report.met {
-        if ![m.variance, m.words, m.own_queue, m.own_ms]
+        if ![m.variance, m.words, m.own_queue, m.own_ms, m.in_flight]
             .iter()
             .all(|x| x.is_finite() && *x >= 0.0)
         {
@@ -65,6 +65,8 @@
     pub stale: bool,
     /// Which share of those who tell of it is still heard.
     pub heard_share: f64,
+    /// Visits under way there, by the newest word of each proxy.
+    pub in_flight: f64,
 }
 
 /// What is estimated of one class at a server.
@@ -121,6 +123,8 @@
     came: BTreeMap<(usize, usize), (f64, f64)>,
     words: BTreeMap<usize, (MetLine, f64)>,
     views: Views,
+    /// By proxy: visits under way at each server, as last told.
+    in_flight: BTreeMap<usize, BTreeMap<usize, f64>>,
 }
 
 impl Reports {
@@ -137,6 +141,7 @@
             came: BTreeMap::new(),
             words: BTreeMap::new(),
             views: Views::new(),
+            in_flight: BTreeMap::new(),
         }
     }
 
@@ -145,6 +150,7 @@
         let again = self.coverage.heard(now, proxy, window_ms);
         self.heard.extend(again);
         self.reported.insert(proxy);
+        self.in_flight.remove(&proxy);
     }
 
     /// A line of a proxy's report. False if its stretch ended too long ago to be news: then it counts for
@@ -161,6 +167,10 @@
         let end = now - report.ended_ago_ms;
         let begin = end - report.window_ms;
         let trust = self.belief.trust(proxy);
+        if m.in_flight > 0.0 {
+            let there = self.in_flight.entry(proxy).or_default();
+            *there.entry(server).or_default() += m.in_flight;
+        }
         self.estimates.note(
             now,
             &Noted {
@@ -212,12 +222,16 @@
         self.belief.forget_proxy(proxy);
         self.coverage.forget_proxy(proxy);
         self.reported.remove(&proxy);
+        self.in_flight.remove(&proxy);
     }
 
     /// The index stands for another server from now on.
     pub fn forget_server(&mut self, server: usize) {
         self.met.retain(|(s, _), _| *s != server);
         self.words.remove(&server);
+        for there in self.in_flight.values_mut() {
+            there.remove(&server);
+        }
         let places = self.places(server);
         places.for_each(|place| self.estimates.forget(place));
         self.belief.forget_server(server);
@@ -331,6 +345,7 @@
             age_ms: e.age_ms,
             stale: self.belief.is_stale(server),
             heard_share: self.coverage.share(server),
+            in_flight: self.in_flight.values().filter_map(|t| t.get(&server)).sum(),
         })
     }
 }
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -412,6 +412,7 @@
             words: l.words,
             own_queue: l.own_queue,
             own_ms: l.own_ms,
+            in_flight: l.in_flight,
         });
     let came = read
         .came
@@ -449,6 +450,7 @@
                 words: m.words,
                 own_queue: m.own_queue,
                 own_ms: m.own_ms,
+                in_flight: m.in_flight,
             };
             ((Arc::from(m.server), m.class), line)
         });
--- a/crates/intake/src/mouth.rs
+++ b/crates/intake/src/mouth.rs
@@ -28,6 +28,8 @@
     pub words: f64,
     pub own_queue: f64,
     pub own_ms: f64,
+    /// Visits under way at the end of the stretch: the newest word counts, words do not add up.
+    pub in_flight: f64,
 }
 
 impl Line {
@@ -38,6 +40,7 @@
         self.words += other.words;
         self.own_queue += other.own_queue;
         self.own_ms += other.own_ms;
+        self.in_flight = other.in_flight;
     }
 
     fn times(&self, factor: f64) -> Line {
@@ -48,6 +51,7 @@
             words: self.words * factor,
             own_queue: self.own_queue * factor,
             own_ms: self.own_ms * factor,
+            in_flight: self.in_flight * factor,
         }
     }
 }
@@ -219,8 +223,15 @@
             if next.lines.contains_key(&server) {
                 tally.merged += 1;
             }
-            if next.lines.contains_key(&server) || next.lines.len() < most {
-                next.lines.entry(server).or_default().add(&line);
+            let full = next.lines.len() >= most;
+            match next.lines.get_mut(&server) {
+                Some(newer) => {
+                    let in_flight = newer.in_flight;
+                    newer.add(&line);
+                    newer.in_flight = in_flight;
+                }
+                None if full => {}
+                None => drop(next.lines.insert(server, line)),
             }
         }
         for (class, visits) in old.came {
@@ -362,8 +373,16 @@
                 sum.begin = sum.begin.min(w.begin);
                 sum.end = sum.end.max(w.end);
                 for (server, line) in w.lines {
-                    tally.merged += u64::from(sum.lines.contains_key(&server));
-                    sum.lines.entry(server).or_default().add(&line);
+                    match sum.lines.get_mut(&server) {
+                        // What was summed so far is newer.
+                        Some(newer) => {
+                            let in_flight = newer.in_flight;
+                            newer.add(&line);
+                            newer.in_flight = in_flight;
+                            tally.merged += 1;
+                        }
+                        None => drop(sum.lines.insert(server, line)),
+                    }
                 }
                 for (class, visits) in w.came {
                     *sum.came.entry(class).or_default() += visits;
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -126,6 +126,8 @@
     pools: Mutex<HashMap<usize, Vec<(TcpStream, f64)>>>,
     shunned: Mutex<HashMap<usize, (u32, f64)>>,
     counts: Mutex<Counts>,
+    /// Visits under way, by class and server.
+    under_way: Mutex<BTreeMap<(usize, usize), u64>>,
     /// Faults: refuses every message; reads nothing; floods reports; is dead.
     pub refuses: AtomicBool,
     pub deaf: AtomicBool,
@@ -154,6 +156,7 @@
             pools: Mutex::default(),
             shunned: Mutex::default(),
             counts: Mutex::default(),
+            under_way: Mutex::default(),
             refuses: AtomicBool::new(false),
             deaf: AtomicBool::new(false),
             floods: AtomicBool::new(false),
@@ -504,10 +507,15 @@
         classes
             .map(|(i, class)| {
                 let met = counts.endpoints.iter().filter(|((c, _), _)| *c == i);
+                let under_way = lock(&self.under_way);
+                let now = |place, e: &EndpointTally| EndpointTally {
+                    in_progress: under_way.get(place).copied().unwrap_or(0),
+                    ..e.clone()
+                };
                 let dropped = counts.dropped.get(&i).map(|n| (class.name.clone(), *n));
                 ClusterTally {
                     cluster: names::cluster(&self.layer.service, &class.name),
-                    endpoints: met.map(|(_, e)| e.clone()).collect(),
+                    endpoints: met.map(|(place, e)| now(place, e)).collect(),
                     dropped: dropped.into_iter().collect(),
                 }
             })
@@ -665,6 +673,7 @@
         let backend = &layer.backends[server];
         let sent = world.now_ms();
         self.count(class, server, |t| t.issued += 1);
+        *lock(&self.under_way).entry((class, server)).or_default() += 1;
         let told = {
             let told = lock(&world.told);
             (told[server].clone(), *lock(&self.last_message))
@@ -689,6 +698,9 @@
         let took = world.now_ms() - sent;
         let good = outcome == Outcome::Good;
         world.tried(server);
+        if let Some(many) = lock(&self.under_way).get_mut(&(class, server)) {
+            *many -= 1;
+        }
         self.count(class, server, |t| {
             if good {
                 t.good += 1;
--- a/crates/xds/src/lrs.rs
+++ b/crates/xds/src/lrs.rs
@@ -62,6 +62,7 @@
                 });
                 line.tries += good + failed;
                 line.failed += failed;
+                line.in_flight += e.total_requests_in_progress as f64;
                 line.good_ms += times.map(|m| m.total_metric_value).sum::<f64>();
                 for m in &e.load_metric_stats {
                     let answers = m.num_requests_finished_with_metric as f64;
