--- a/crates/control/tests/controller.rs
+++ b/crates/control/tests/controller.rs
@@ -439,6 +439,79 @@
     assert!(dahliapoint_control::fault_of(&long).is_some());
 }
 
+/// All proxies of a grown site come back within a second: nobody is written more than the channel bears,
+/// and all are bound in the end.
+#[test]
+fn many_that_come_back_at_once_are_paced() {
+    let most_waiting = 4_000.0;
+    let mut day = Day::begun(Terms {
+        most_waiting,
+        most_messages: 0.0,
+        usual_pace: 0.1,
+        ..terms()
+    });
+    let names: Vec<String> = (0..115)
+        .map(|i| format!("server{}", "x".repeat(i)))
+        .collect();
+    let roster: Vec<(&str, AdminState)> = names.iter().map(|n| (n.as_str(), Ready)).collect();
+    day.roster(&roster);
+    for round in 0..2 {
+        for p in 0..361 {
+            day.now += 2.0;
+            let input = Input::Joined {
+                session: round * 1_000 + p,
+                proxy: format!("p{p}"),
+                zone: if p % 2 == 0 { "east" } else { "west" }.into(),
+                pace: Some(2.0),
+            };
+            day.tell(vec![input]);
+            let view = day.controller.overview();
+            assert!(view.accounts.waiting <= most_waiting, "{:?}", view.accounts);
+        }
+        day.pass(30_000.0, 100.0);
+        let view = day.controller.overview();
+        assert_eq!(
+            view.proxies.iter().filter(|p| p.part.is_some()).count(),
+            361
+        );
+        day.agrees();
+    }
+    assert!(day.controller.overview().accounts.most_waiting <= most_waiting);
+}
+
+/// The roster's clock jumps: the same start told with another age is no new start.
+#[test]
+fn a_clock_that_jumps_makes_no_new_start() {
+    let mut day = five();
+    let started = |ago, stamp| Entry {
+        started: Some((ago, stamp)),
+        ..entry("a", Ready)
+    };
+    let rest = || ["bb", "ccc", "dddd", "eeeee"].map(|n| entry(n, Ready));
+    let tell = |day: &mut Day, first: Entry| {
+        let mut entries = vec![first];
+        entries.extend(rest());
+        day.tell(vec![Input::Roster(entries)]);
+        day.pass(3_000.0, 100.0);
+        let view = day.controller.overview();
+        let a = view.servers.iter().find(|s| &*s.name == "a").unwrap();
+        a.weight
+    };
+    assert!(
+        tell(&mut day, started(50.0, 1)) < 0.5,
+        "a new start is cold"
+    );
+    day.pass(30_000.0, 500.0);
+    for ago in [0.0, 5.0, 1e7, 0.0] {
+        assert_eq!(
+            tell(&mut day, started(ago, 1)),
+            1.0,
+            "the same start, {ago}"
+        );
+    }
+    assert!(tell(&mut day, started(0.0, 2)) < 0.5, "another start");
+}
+
 fn inputs() -> impl Strategy<Value = Input> {
     let name = prop::sample::select(vec!["a", "bb", "ccc", "dddd", "é ü/\"\n", "f%2F\u{0}"]);
     let state = prop::sample::select(vec![Ready, Draining, Gone]);
--- a/crates/grpc/src/codec.rs
+++ b/crates/grpc/src/codec.rs
@@ -164,6 +164,11 @@
         Ok(())
     }
 
+    /// Until when messages are to be taken by the peer; one that is not is cut off, and the call with it.
+    pub fn limit(&mut self, until: Option<Instant>) {
+        self.until = until;
+    }
+
     /// Ends a client's sending side; the answers go on.
     pub fn half_close(&mut self) {
         self.done = true;
--- a/crates/grpc/tests/calls.rs
+++ b/crates/grpc/tests/calls.rs
@@ -46,6 +46,16 @@
                 }
                 self.sent.fetch_add(1, Ordering::SeqCst);
             },
+            // The same, but it gives a peer up that takes nothing.
+            "/t.T/Patience" => loop {
+                let soon = Instant::now() + Duration::from_millis(100);
+                call.outbound.limit(Some(soon));
+                if let Err(e) = call.outbound.send(&text("x".repeat(10_000))) {
+                    self.ended.fetch_add(1, Ordering::SeqCst);
+                    assert_eq!(e.code, Code::DeadlineExceeded);
+                    return call.outbound.cancel();
+                }
+            },
             "/t.T/Refuse" => Status::new(Code::FailedPrecondition, "nicht heute: größe"),
             _ => Status::new(Code::Unimplemented, format!("no {}", call.path)),
         };
@@ -140,6 +150,26 @@
     until("the cancel came", || ended.load(Ordering::SeqCst) > before);
 }
 
+#[test]
+fn a_sender_with_a_limit_gives_up_a_reader_that_stopped() {
+    let (server, ended, _) = started();
+    let link = Link::dial(server.address(), limits()).unwrap();
+    let mut stuck = link.open("/t.T/Patience", None).unwrap();
+    stuck.outbound.send(&text("")).unwrap();
+    until("given up", || ended.load(Ordering::SeqCst) == 1);
+    let (_outbound, mut inbound) = stuck.answered().unwrap();
+    let end = loop {
+        match inbound.message::<Text>() {
+            Ok(Some(_)) => {}
+            other => break other,
+        }
+    };
+    assert!(
+        end.is_err(),
+        "the call is broken off, not ended as if complete: {end:?}"
+    );
+}
+
 #[test]
 fn a_deadline_ends_the_call_on_both_sides() {
     let (server, ended, _) = started();
--- a/crates/xds/src/front.rs
+++ b/crates/xds/src/front.rs
@@ -15,8 +15,12 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
 use tracing::{debug, info, warn};
 
+/// A stream ends when its peer has taken nothing for so long while something waits for it.
+const UNREAD: std::time::Duration = std::time::Duration::from_secs(10);
+
 /// The owner of the controller, as a front sees it.
 pub trait Owner: Send + Sync + 'static {
     /// Puts an input into its queue, waiting for room; false once it has ended.
@@ -410,17 +414,24 @@
             };
             (next, session.answers())
         };
-        let mut failed = tell(stream, owner, answers).err();
+        let failed = tell(stream, owner, answers).err();
         if let Some(response) = next {
+            // A peer whose window stays full has stopped reading: what it is told elsewhere (that its
+            // stream ends) would wait behind this for ever.
+            outbound.limit(Some(Instant::now() + UNREAD));
             let sent = match &response {
                 Response::Delta(r) => outbound.send(r),
                 Response::Full(r) => outbound.send(r),
             };
             match sent {
                 Ok(_) => continue,
-                Err(status) => failed = Some(status),
+                Err(_) => {
+                    // Cut within a message: the call cannot end well any more.
+                    return outbound.cancel();
+                }
             }
         }
+        outbound.limit(None);
         let closing = lock(&stream.closing).clone();
         if let Some(status) = failed.or(closing) {
             return outbound.finish(&status);
