The obedient proxy runs: HTTP/1.1 by the tables it is given, steered by xDS, reporting by LRS

Controllers are to be tested against a proxy that obeys exactly, and other people need a reference of what a plain proxy must do. dahliapoint-proxy reads HTTP/1.1 (heads by a library's parser; whatever could be read in two ways is refused), streams bodies in bounded pieces, keeps connections, holds the hard limit, tries again only on proof or where it cannot run twice, swaps tables whole between two visits, keeps what it holds when the controller is lost, tells the next one what that is, and reports what it met, adding what could not be sent to the next report.

--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -11,6 +11,7 @@
 use dahliapoint_intake::pace::Interval;
 use dahliapoint_scheduler::{Budget, Id, Piece, Scheduler, Told};
 use dahliapoint_xds::Owner;
+
 use std::collections::VecDeque;
 use std::fs::File;
 use std::io::{self, BufWriter};
@@ -21,6 +22,9 @@
 use std::time::{Duration, Instant};
 use tracing::{debug, error, info, warn};
 
+/// What an overview is told as.
+pub type Json = serde_json::Value;
+
 /// Inputs that wait at most; beyond that whoever brings one waits.
 const MOST: usize = 16 * 1024;
 /// Servers that one reporter may name.
--- /dev/null
+++ b/crates/proxy/src/described.rs
@@ -0,0 +1,198 @@
+//! The settings of a proxy, and the roster that it reads once, at its start.
+
+use crate::picking::Way;
+use crate::trying::Effect;
+use dahliapoint_yaml::{At, Faults, read};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// A class of visits: those whose path begins with its name.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    pub name: String,
+    pub hard_limit_ms: f64,
+    pub effect: Effect,
+}
+
+/// All that a proxy is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Described {
+    pub name: String,
+    pub service: String,
+    pub zone: String,
+    pub pace: f64,
+    pub controllers: Vec<SocketAddr>,
+    pub listen: SocketAddr,
+    pub roster: PathBuf,
+    pub classes: Vec<Class>,
+    pub way: Way,
+    pub standing: usize,
+    pub strikes: u32,
+    pub shun_ms: f64,
+    pub redial_ms: (f64, f64),
+    pub idle_ms: f64,
+    pub connect_ms: f64,
+    /// It stands still for so long for each line of a table that it is sent: what other proxies do.
+    pub stall_us: f64,
+    /// Further tries, as a share of visits.
+    pub further_share: f64,
+    /// A 503 with this header proves that nothing ran.
+    pub proof_header: String,
+    pub most_clients: usize,
+    pub seed: u64,
+    pub log_level: String,
+}
+
+/// Reads the settings; paths are taken from the folder of the file.
+///
+/// # Errors
+/// All that is wrong, with lines.
+pub fn parse(file: &str, text: &str) -> Result<Described, Faults> {
+    let folder = Path::new(file)
+        .parent()
+        .unwrap_or(Path::new(""))
+        .to_path_buf();
+    read(file, text, |at| described(at, &folder))
+}
+
+fn address(at: &At) -> SocketAddr {
+    let wanted = "an address such as 127.0.0.1:8080";
+    let read = at.parsed(wanted, None, |t| t.parse().ok());
+    read.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+fn described(at: &At, folder: &Path) -> Described {
+    let controllers = at.field("controllers");
+    let addresses: Vec<SocketAddr> = controllers.list().iter().map(address).collect();
+    if addresses.is_empty() {
+        controllers.wrong("at least one controller is wanted");
+    }
+    let list = at.field("classes");
+    let classes: Vec<Class> = list
+        .list()
+        .iter()
+        .map(|c| {
+            let effects = [
+                ("safe", Effect::Pure),
+                ("keyed", Effect::Keyed),
+                ("never", Effect::Effect),
+            ];
+            let class = Class {
+                name: c.field("name").text(None),
+                hard_limit_ms: c.field("hard_limit").time(1.0..=3.6e6, None),
+                effect: c.field("repeat").choice(&effects, Some(Effect::Effect)),
+            };
+            c.close();
+            class
+        })
+        .collect();
+    if classes.is_empty() {
+        list.wrong("at least one class is wanted");
+    }
+    let ways = [
+        ("rotate", Way::Rotate),
+        ("random", Way::Random),
+        ("two", Way::Two),
+    ];
+    let shun = at.field("shun");
+    let strikes = shun.field("after").number(0.0..=1e6, Some(0.0)) as u32;
+    let shun_ms = shun.field("for").time(0.0..=3.6e6, Some(3_000.0));
+    shun.close();
+    let redial = at.field("redial");
+    let from = redial.field("from").time(1.0..=3.6e6, Some(200.0));
+    let to = redial.field("to").time(1.0..=3.6e6, Some(1_000.0));
+    if to < from {
+        redial
+            .field("to")
+            .wrong("a time no shorter than from is wanted");
+    }
+    redial.close();
+    let levels = ["error", "warn", "info", "debug", "trace"].map(|l| (l, l));
+    let out = Described {
+        name: at.field("name").text(None),
+        service: at.field("service").text(None),
+        zone: at.field("zone").text(None),
+        pace: at.field("pace").number(0.0..=1e6, Some(0.0)),
+        controllers: addresses,
+        listen: address(&at.field("listen")),
+        roster: folder.join(at.field("roster").text(None)),
+        classes,
+        way: at.field("picks").choice(&ways, Some(Way::Rotate)),
+        standing: at.field("standing").number(1.0..=10_000.0, Some(10.0)) as usize,
+        strikes,
+        shun_ms,
+        redial_ms: (from, to),
+        idle_ms: at.field("idle").time(1.0..=3.6e6, Some(15_000.0)),
+        connect_ms: at.field("connect").time(1.0..=60_000.0, Some(250.0)),
+        stall_us: at.field("stall_by_line").time(0.0..=100.0, Some(0.0)) * 1e3,
+        further_share: at.field("further_tries").number(0.0..=1.0, Some(0.1)),
+        proof_header: at.field("proof_header").text(Some("x-unseen")),
+        most_clients: at.field("most_clients").number(1.0..=1e6, Some(4096.0)) as usize,
+        seed: at.field("seed").number(0.0..=9e15, Some(1.0)) as u64,
+        log_level: at.field("log").choice(&levels, Some("info")).to_string(),
+    };
+    at.close();
+    out
+}
+
+/// A server as the roster lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    pub name: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub ready: bool,
+}
+
+/// Reads a roster: the same file as the controller's.
+///
+/// # Errors
+/// All that is wrong, with lines.
+pub fn roster(file: &str, text: &str) -> Result<Vec<Listed>, Faults> {
+    read(file, text, |at| {
+        let servers = at.field("servers").list();
+        let listed = servers.iter().map(|s| {
+            for passed_over in ["weight", "started"] {
+                s.field(passed_over);
+            }
+            let states = [("ready", true), ("draining", false), ("gone", false)];
+            let listed = Listed {
+                name: s.field("name").text(None),
+                address: address(&s.field("address")),
+                zone: s.field("zone").text(None),
+                ready: s.field("state").choice(&states, Some(true)),
+            };
+            s.close();
+            listed
+        });
+        let listed = listed.collect();
+        at.close();
+        listed
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SMALL: &str = "name: p\nservice: s\nzone: a\ncontrollers: ['127.0.0.1:1']\nlisten: 127.0.0.1:0\n\
+        roster: r.yaml\nclasses: [{name: view, hard_limit: 2s}]\n";
+
+    #[test]
+    fn settings_have_defaults_and_faults_have_lines() {
+        let d = parse("conf/p.yaml", SMALL).unwrap();
+        assert_eq!((d.way, d.classes[0].effect), (Way::Rotate, Effect::Effect));
+        assert_eq!(d.roster, PathBuf::from("conf/r.yaml"));
+        let cases = [
+            ("controllers: ['127.0.0.1:1']", "controllers: []", 4),
+            ("127.0.0.1:0", "here", 5),
+            ("hard_limit: 2s", "hard_limit: 2", 7),
+            ("name: p", "name: p\npicks: best", 2),
+            ("name: p", "redial: {from: 2s, to: 1s}\nname: p", 1),
+        ];
+        for (from, to, line) in cases {
+            let faults = parse("p.yaml", &SMALL.replace(from, to)).unwrap_err();
+            assert!(faults.0.iter().any(|f| f.line == line), "{to}: {faults}");
+        }
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,14 +1,21 @@
-//! What an obedient proxy decides by itself, free of I/O, clock and chance from outside; the program round
-//! it is to come.
+//! The obedient proxy: HTTP/1.1 in and out, by the tables that it is given.
 //!
+//! Free of I/O, clock and chance from outside:
 //! - [`picking`]: which line of its table a visit goes to, in each of the ways that deployments name;
 //! - [`shunning`]: which servers it keeps away from for a while, after its own failures alone;
 //! - [`trying`]: whether a visit that failed is tried again, and whether it is let in at all.
 //!
-//! Servers are small indices; times are milliseconds on one clock that never goes back.
+//! Around them: [`http`] reads and writes messages, [`plane`] carries visits, [`steering`] holds tables by
+//! xDS and reports, [`described`] reads the settings.
+//!
+//! Servers are small indices; times in decisions are milliseconds on one clock that never goes back.
 
+pub mod described;
+pub mod http;
 pub mod picking;
+pub mod plane;
 pub mod shunning;
+pub mod steering;
 pub mod trying;
 
 /// Multiply with carry: numbers from 0 to 1, from a seed.
--- /dev/null
+++ b/crates/proxy/src/main.rs
@@ -0,0 +1,95 @@
+//! `dahliapoint-proxy`: a small data plane that obeys published tables exactly.
+
+use clap::{Parser, Subcommand};
+use dahliapoint_proxy::described;
+use dahliapoint_proxy::plane::Plane;
+use dahliapoint_proxy::steering::Steering;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(name = "dahliapoint-proxy", version)]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a proxy.
+    Run {
+        file: PathBuf,
+        #[arg(long)]
+        listen: Option<SocketAddr>,
+        /// Write the address that is listened on to this file.
+        #[arg(long)]
+        address_file: Option<PathBuf>,
+    },
+    /// Check its settings and its roster.
+    Check { file: PathBuf },
+}
+
+fn main() -> ExitCode {
+    let done = match Line::parse().command {
+        Command::Run {
+            file,
+            listen,
+            address_file,
+        } => run(&file, listen, address_file.as_deref()),
+        Command::Check { file } => load(&file).map(|(d, roster)| {
+            println!(
+                "{}: proxy {} of {}, {} servers",
+                file.display(),
+                d.name,
+                d.service,
+                roster.len()
+            );
+        }),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("{why}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn load(file: &Path) -> Result<(described::Described, Vec<described::Listed>), String> {
+    let read = |path: &Path| {
+        let text = std::fs::read_to_string(path);
+        text.map_err(|e| format!("{}: {e}", path.display()))
+    };
+    let name = file.display().to_string();
+    let d = described::parse(&name, &read(file)?).map_err(|f| f.to_string())?;
+    let name = d.roster.display().to_string();
+    let roster = described::roster(&name, &read(&d.roster)?).map_err(|f| f.to_string())?;
+    Ok((d, roster))
+}
+
+fn run(file: &Path, listen: Option<SocketAddr>, address_file: Option<&Path>) -> Result<(), String> {
+    let (mut d, roster) = load(file)?;
+    d.listen = listen.unwrap_or(d.listen);
+    let filter = tracing_subscriber::EnvFilter::new(format!("{},may=warn", d.log_level));
+    tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .init();
+    let plane = Plane::new(d, &roster);
+    let address = plane
+        .serve()
+        .map_err(|e| format!("{}: {e}", plane.described.listen))?;
+    let _steering = Steering::start(plane.clone());
+    tracing::info!(%address, standing = plane.lines(), "serving");
+    if let Some(path) = address_file {
+        let aside = path.with_extension("aside");
+        std::fs::write(&aside, address.to_string())
+            .and_then(|()| std::fs::rename(&aside, path))
+            .map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    loop {
+        std::thread::park();
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/plane.rs
@@ -0,0 +1,649 @@
+//! The data plane: takes visits from clients and carries each to a server by the table in use.
+
+use crate::Chance;
+use crate::described::{Described, Listed};
+use crate::http::{Body, Found, Head, Source, Wrong, write_head, write_piece};
+use crate::picking::{Line, Picker};
+use crate::shunning::Shunning;
+use crate::trying::{self, Budget, Failed, Failure, Level, Ordered};
+use dahliapoint_fibers::{TcpStream, Timer, dial, listen, shut_at, sleep, spawn};
+use dahliapoint_xds::{ClusterTally, EndpointTally, Held, names};
+use std::collections::{BTreeMap, HashMap};
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+use tracing::{debug, warn};
+
+/// A body up to this size is held, so that its visit can be tried again.
+const HELD: u64 = 64 * 1024;
+/// Connections kept to one server.
+const KEPT: usize = 64;
+/// How soon a refused client is to come again, in seconds.
+const COME_AGAIN_S: u32 = 1;
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+fn ms(time: f64) -> Duration {
+    Duration::from_secs_f64(time.max(0.0) / 1e3)
+}
+
+/// Servers by name and address, and the index that each has for good.
+#[derive(Default)]
+struct Servers {
+    by_address: HashMap<String, usize>,
+    addresses: Vec<Option<SocketAddr>>,
+}
+
+impl Servers {
+    fn place(&mut self, address: &str) -> usize {
+        let next = self.addresses.len();
+        let place = *self.by_address.entry(address.to_string()).or_insert(next);
+        if place == next {
+            self.addresses.push(address.parse().ok());
+        }
+        place
+    }
+}
+
+/// What is decided by together: swapped and asked under one lock, held for moments.
+struct Table {
+    picker: Picker,
+    shunning: Shunning,
+    levels: Vec<Level>,
+    ordered: Vec<Ordered>,
+    budget: Budget,
+    stalled_until: Instant,
+}
+
+#[derive(Default)]
+struct Counts {
+    endpoints: BTreeMap<(usize, usize), EndpointTally>,
+    dropped: BTreeMap<usize, u64>,
+    under_way: BTreeMap<(usize, usize), u64>,
+}
+
+/// The data plane of one proxy.
+pub struct Plane {
+    pub described: Described,
+    begun: Instant,
+    servers: Mutex<Servers>,
+    standing: Vec<Listed>,
+    table: Mutex<Table>,
+    pools: Mutex<HashMap<usize, Vec<(Source, Instant)>>>,
+    counts: Mutex<Counts>,
+    clients: AtomicUsize,
+}
+
+/// How a try ended.
+enum Tried {
+    Answered(Box<Answer>),
+    Failed(Failure),
+}
+
+struct Answer {
+    head: Head,
+    body: Body,
+    source: Source,
+    /// Ends the answer at the hard limit.
+    limit: Timer,
+}
+
+/// A visit's body: held, or still with the client.
+enum Brought {
+    Held(Vec<u8>),
+    Streams(Body),
+}
+
+impl Plane {
+    /// A plane with its standing table: so many servers of the roster, of its own zone if three are there.
+    pub fn new(described: Described, roster: &[Listed]) -> Arc<Plane> {
+        let mut chance = Chance::from(described.seed);
+        let ready = || roster.iter().filter(|l| l.ready);
+        let near: Vec<&Listed> = ready().filter(|l| l.zone == described.zone).collect();
+        let mut left: Vec<&Listed> = if near.len() >= 3 {
+            near
+        } else {
+            ready().collect()
+        };
+        let mut standing = Vec::new();
+        while standing.len() < described.standing && !left.is_empty() {
+            let at = (chance.draw() * left.len() as f64) as usize;
+            standing.push(left.swap_remove(at.min(left.len() - 1)).clone());
+        }
+        let classes = described.classes.len();
+        let plane = Plane {
+            begun: Instant::now(),
+            servers: Mutex::default(),
+            standing,
+            table: Mutex::new(Table {
+                picker: Picker::new(described.way, described.seed),
+                shunning: Shunning::new(described.strikes, described.shun_ms),
+                levels: vec![Level::new(); classes],
+                ordered: vec![Ordered::OnProof; classes],
+                budget: Budget::new(described.further_share),
+                stalled_until: Instant::now(),
+            }),
+            pools: Mutex::default(),
+            counts: Mutex::default(),
+            clients: AtomicUsize::new(0),
+            described,
+        };
+        plane.swap(None, &|_| false, 0);
+        Arc::new(plane)
+    }
+
+    fn now_ms(&self) -> f64 {
+        self.begun.elapsed().as_secs_f64() * 1e3
+    }
+
+    /// Puts a table into use, whole, between two visits: the one given, or the standing one without what
+    /// is withdrawn. `lines` were sent for it, each of which holds the proxy up.
+    pub fn swap(&self, held: Option<&Held>, is_shut: &dyn Fn(&str) -> bool, lines: usize) {
+        let mut servers = lock(&self.servers);
+        let picks: Vec<Line> = match held {
+            Some(held) => {
+                let open = held.lines.iter().filter(|l| l.open);
+                open.map(|l| Line {
+                    server: servers.place(&l.address),
+                    weight: f64::from(l.weight),
+                })
+                .collect()
+            }
+            None => {
+                let open = self.standing.iter().filter(|l| !is_shut(&l.name));
+                open.map(|l| Line {
+                    server: servers.place(&l.address.to_string()),
+                    weight: 1.0,
+                })
+                .collect()
+            }
+        };
+        drop(servers);
+        let there: Vec<usize> = picks.iter().map(|l| l.server).collect();
+        let mut table = lock(&self.table);
+        table.picker.swap(&picks);
+        table.shunning.keep(|s| there.contains(&s));
+        for (i, class) in self.described.classes.iter().enumerate() {
+            let given = held.map(|h| {
+                let share = h.shares.get(&class.name).copied().unwrap_or(1.0);
+                let on = h.retry_on.get(&class.name).map_or("", String::as_str);
+                let ordered = match on {
+                    "" => Ordered::Never,
+                    on if on.contains("5xx") => Ordered::OnFailure,
+                    _ => Ordered::OnProof,
+                };
+                (share, ordered)
+            });
+            let (share, ordered) = given.unwrap_or((1.0, Ordered::OnProof));
+            table.levels[i].set(share);
+            table.ordered[i] = ordered;
+        }
+        let stall = Duration::from_secs_f64(self.described.stall_us * lines as f64 / 1e6);
+        table.stalled_until = Instant::now() + stall;
+        drop(table);
+        // Connections to servers that are not in the table are closed.
+        let closed: Vec<_> = {
+            let mut pools = lock(&self.pools);
+            let out: Vec<usize> = pools
+                .keys()
+                .copied()
+                .filter(|s| !there.contains(s))
+                .collect();
+            out.iter().filter_map(|s| pools.remove(s)).collect()
+        };
+        drop(closed);
+    }
+
+    /// Servers that can be picked now.
+    pub fn lines(&self) -> usize {
+        lock(&self.table).picker.lines().len()
+    }
+
+    /// Serves clients, until the process ends.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub fn serve(self: &Arc<Self>) -> io::Result<SocketAddr> {
+        let listener = listen(self.described.listen)?;
+        let address = listener.local_addr()?;
+        let plane = self.clone();
+        spawn(move || {
+            for socket in listener.incoming() {
+                let Ok(socket) = socket else {
+                    sleep(Duration::from_millis(20));
+                    continue;
+                };
+                if plane.clients.fetch_add(1, Ordering::SeqCst) >= plane.described.most_clients {
+                    plane.clients.fetch_sub(1, Ordering::SeqCst);
+                    warn!(
+                        most = plane.described.most_clients,
+                        "a client too many is refused"
+                    );
+                    continue;
+                }
+                let plane = plane.clone();
+                spawn(move || {
+                    plane.converse(socket);
+                    plane.clients.fetch_sub(1, Ordering::SeqCst);
+                });
+            }
+        });
+        Ok(address)
+    }
+
+    /// A client's connection: one visit after the other.
+    fn converse(&self, socket: TcpStream) {
+        let _ = socket.set_nodelay(true);
+        let mut client = Source::of(socket);
+        loop {
+            // A client that says nothing for long is let go.
+            let Ok(idle) = shut_at(&client.socket, Instant::now() + ms(self.described.idle_ms))
+            else {
+                return;
+            };
+            let head = match client.request() {
+                Found::There(head) => head,
+                Found::Closed => return,
+                Found::Wrong(Wrong(status, why)) => {
+                    debug!(status, why, "a request is refused");
+                    let _ = answer(&mut client.socket, status, why, true);
+                    return;
+                }
+            };
+            drop(idle);
+            let goes_on = self.visit(&mut client, &head).unwrap_or(false);
+            if !goes_on || head.closes() {
+                return;
+            }
+        }
+    }
+
+    fn class_of(&self, target: &str) -> Option<usize> {
+        let path = target.split('?').next().unwrap_or_default();
+        let first = path.trim_start_matches('/').split('/').next()?;
+        let name = names::unescape(first)?;
+        self.described.classes.iter().position(|c| c.name == name)
+    }
+
+    /// One visit, to its end. Tells whether the connection can go on.
+    fn visit(&self, client: &mut Source, head: &Head) -> io::Result<bool> {
+        let body = match head.request_body() {
+            Ok(body) => body,
+            Err(Wrong(status, why)) => {
+                answer(&mut client.socket, status, why, true)?;
+                return Ok(false);
+            }
+        };
+        let Some(class) = self.class_of(&head.target) else {
+            // What is left of its body is not waited for.
+            answer(&mut client.socket, 404, "no such class of visits", true)?;
+            return Ok(false);
+        };
+        let stalled = {
+            let mut table = lock(&self.table);
+            table.budget.visit();
+            if !table.levels[class].lets_in() {
+                drop(table);
+                *lock(&self.counts).dropped.entry(class).or_default() += 1;
+                answer(&mut client.socket, 503, "not let in now", true)?;
+                return Ok(false);
+            }
+            table.stalled_until
+        };
+        let wait = stalled.saturating_duration_since(Instant::now());
+        if !wait.is_zero() {
+            sleep(wait);
+        }
+        let until = Instant::now() + ms(self.described.classes[class].hard_limit_ms);
+        if head
+            .get("expect")
+            .is_some_and(|e| e.eq_ignore_ascii_case("100-continue"))
+        {
+            client.socket.write_all(b"HTTP/1.1 100 Continue\r\n\r\n")?;
+        }
+        let brought = match body {
+            Body::Length(length) if length <= HELD => {
+                let slow = shut_at(&client.socket, until)?;
+                let mut held = Vec::new();
+                client.pass(body, |piece| {
+                    held.extend_from_slice(piece);
+                    Ok(())
+                })?;
+                drop(slow);
+                Brought::Held(held)
+            }
+            other => Brought::Streams(other),
+        };
+        match self.carry(client, head, class, &brought, until) {
+            Ok(mut found) => self.hand_back(client, head, &mut found),
+            Err(status) => {
+                let kept = matches!(brought, Brought::Held(_));
+                let why = if status == 504 {
+                    "no answer in time"
+                } else {
+                    "no server answers"
+                };
+                answer(&mut client.socket, status, why, !kept)?;
+                Ok(kept)
+            }
+        }
+    }
+
+    /// Tries a server, and another if that is ordered and may be. The status to answer with if none did.
+    fn carry(
+        &self,
+        client: &mut Source,
+        head: &Head,
+        class: usize,
+        brought: &Brought,
+        until: Instant,
+    ) -> Result<(Box<Answer>, usize, Instant, usize), u16> {
+        let mut tried: Vec<usize> = Vec::new();
+        loop {
+            let picked = {
+                let mut table = lock(&self.table);
+                let Table {
+                    picker, shunning, ..
+                } = &mut *table;
+                let now = self.now_ms();
+                let picked =
+                    shunning.pick(now, |may| picker.pick(|s| !tried.contains(&s) && may(s)));
+                if let Some(server) = picked {
+                    picker.began(server);
+                }
+                picked
+            };
+            let Some(server) = picked else {
+                return Err(503);
+            };
+            tried.push(server);
+            let begun = Instant::now();
+            self.count(class, server, |t| t.issued += 1);
+            *lock(&self.counts)
+                .under_way
+                .entry((class, server))
+                .or_default() += 1;
+            match self.attempt(client, head, server, brought, until) {
+                Tried::Answered(found) => return Ok((found, server, begun, class)),
+                Tried::Failed(failure) => {
+                    self.ended(class, server, begun, false);
+                    let left = until.saturating_duration_since(Instant::now());
+                    let failed = Failed {
+                        effect: self.described.classes[class].effect,
+                        ordered: lock(&self.table).ordered[class],
+                        failure,
+                        tries: tried.len() as u32,
+                        left_ms: left.as_secs_f64() * 1e3,
+                    };
+                    let streamed = matches!(brought, Brought::Streams(_));
+                    let again = trying::again(&failed, &mut lock(&self.table).budget);
+                    if streamed || again.is_err() {
+                        return Err(if left.is_zero() { 504 } else { 502 });
+                    }
+                }
+            }
+        }
+    }
+
+    fn ended(&self, class: usize, server: usize, begun: Instant, good: bool) {
+        let took = begun.elapsed().as_secs_f64() * 1e3;
+        self.count(class, server, |t| match good {
+            true => {
+                t.good += 1;
+                t.good_ms += took;
+            }
+            false => t.failed += 1,
+        });
+        if let Some(many) = lock(&self.counts).under_way.get_mut(&(class, server)) {
+            *many -= 1;
+        }
+        let now = self.now_ms();
+        let mut table = lock(&self.table);
+        table.picker.ended(server);
+        if table.shunning.met(now, server, good) {
+            drop(table);
+            warn!(server = ?self.address(server), "kept away from after a run of failures");
+        }
+    }
+
+    fn address(&self, server: usize) -> Option<SocketAddr> {
+        lock(&self.servers).addresses.get(server).copied().flatten()
+    }
+
+    fn connection(&self, server: usize, until: Instant) -> Result<(Source, bool), Failure> {
+        let idle = ms(self.described.idle_ms);
+        loop {
+            let kept = lock(&self.pools).get_mut(&server).and_then(Vec::pop);
+            match kept {
+                Some((source, used)) if used.elapsed() < idle && !is_closed(&source.socket) => {
+                    return Ok((source, false));
+                }
+                Some(_) => {}
+                None => break,
+            }
+        }
+        let to = self.address(server).ok_or(Failure::NeverRan)?;
+        let left = until.saturating_duration_since(Instant::now());
+        let socket = dial(to, left.min(ms(self.described.connect_ms)));
+        let socket = socket.map_err(|_| Failure::NeverRan)?;
+        let _ = socket.set_nodelay(true);
+        Ok((Source::of(socket), true))
+    }
+
+    /// Sends the visit to a server and reads the head of its answer.
+    fn attempt(
+        &self,
+        client: &mut Source,
+        head: &Head,
+        server: usize,
+        brought: &Brought,
+        until: Instant,
+    ) -> Tried {
+        let (mut source, _) = match self.connection(server, until) {
+            Ok(found) => found,
+            Err(failure) => return Tried::Failed(failure),
+        };
+        let Ok(limit) = shut_at(&source.socket, until) else {
+            return Tried::Failed(Failure::NeverRan);
+        };
+        let framing = match brought {
+            Brought::Held(bytes) => Body::Length(bytes.len() as u64),
+            Brought::Streams(body) => *body,
+        };
+        let first = format!("{} {} HTTP/1.1", head.method, head.target);
+        let mut out = write_head(&first, head, framing, false);
+        if let Brought::Held(bytes) = brought {
+            out.extend_from_slice(bytes);
+        }
+        let sent = source.socket.write_all(&out).and_then(|()| match brought {
+            Brought::Held(_) => Ok(()),
+            Brought::Streams(body) => {
+                client.pass(*body, |piece| write_piece(&mut source.socket, *body, piece))?;
+                match body {
+                    Body::Chunked => source.socket.write_all(b"0\r\n\r\n"),
+                    _ => Ok(()),
+                }
+            }
+        });
+        if sent.is_err() {
+            return Tried::Failed(Failure::MayHaveRun);
+        }
+        loop {
+            match source.response() {
+                // Said ahead of the answer.
+                Found::There(answer) if answer.status < 200 => {}
+                Found::There(answer) => {
+                    let unseen =
+                        answer.status == 503 && answer.get(&self.described.proof_header).is_some();
+                    if answer.status >= 500 {
+                        // Its connection is not used again: what is left of the answer is not read.
+                        return Tried::Failed(match unseen {
+                            true => Failure::NeverRan,
+                            false => Failure::MayHaveRun,
+                        });
+                    }
+                    let Ok(body) = answer.response_body(&head.method) else {
+                        return Tried::Failed(Failure::MayHaveRun);
+                    };
+                    return Tried::Answered(Box::new(Answer {
+                        head: answer,
+                        body,
+                        source,
+                        limit,
+                    }));
+                }
+                Found::Closed | Found::Wrong(_) => return Tried::Failed(Failure::MayHaveRun),
+            }
+        }
+    }
+
+    /// Passes an answer on to the client; the connection to the server is kept if it can be.
+    fn hand_back(
+        &self,
+        client: &mut Source,
+        head: &Head,
+        found: &mut (Box<Answer>, usize, Instant, usize),
+    ) -> io::Result<bool> {
+        let (found, server, begun, class) = (&mut found.0, found.1, found.2, found.3);
+        self.words(class, server, &found.head);
+        let first = format!("HTTP/1.1 {} X", found.head.status);
+        let whole = write_head(&first, &found.head, found.body, head.closes());
+        let body = found.body;
+        let bodiless = head.method == "HEAD" || matches!(found.head.status, 204 | 304);
+        let passed = client.socket.write_all(&whole).and_then(|()| {
+            found
+                .source
+                .pass(body, |piece| write_piece(&mut client.socket, body, piece))?;
+            match body {
+                Body::Length(_) => Ok(()),
+                Body::Chunked | Body::UntilClose if bodiless => Ok(()),
+                Body::Chunked | Body::UntilClose => client.socket.write_all(b"0\r\n\r\n"),
+            }
+        });
+        self.ended(
+            class,
+            server,
+            begun,
+            passed.is_ok() || !found.limit.is_over(),
+        );
+        passed?;
+        let reusable = !found.limit.is_over()
+            && !found.head.closes()
+            && body != Body::UntilClose
+            && found.source.is_clean();
+        if reusable && let Ok(socket) = found.source.socket.try_clone() {
+            let mut pools = lock(&self.pools);
+            let kept = pools.entry(server).or_default();
+            if kept.len() < KEPT {
+                kept.push((Source::of(socket), Instant::now()));
+            }
+        }
+        Ok(true)
+    }
+
+    // ---- reports ----
+
+    fn count(&self, class: usize, server: usize, note: impl FnOnce(&mut EndpointTally)) {
+        let address = self.address(server);
+        let mut counts = lock(&self.counts);
+        let tally = counts.endpoints.entry((class, server)).or_default();
+        if tally.address.is_empty() {
+            tally.address = address.map(|a| a.to_string()).unwrap_or_default();
+        }
+        note(tally);
+    }
+
+    /// The server's own words, as ORCA has them in an answer's header.
+    fn words(&self, class: usize, server: usize, head: &Head) {
+        let load = head
+            .get("endpoint-load-metrics")
+            .and_then(|t| t.strip_prefix("TEXT "));
+        let Some(load) = load else {
+            return;
+        };
+        self.count(class, server, |t| {
+            for (name, value) in load.split(',').filter_map(|pair| pair.split_once('=')) {
+                let name = name.trim().strip_prefix("named_metrics.");
+                let value = value
+                    .trim()
+                    .parse::<f64>()
+                    .ok()
+                    .filter(|v| v.is_finite() && *v >= 0.0);
+                if let (Some(name), Some(value)) = (name, value) {
+                    let word = t.words.entry(name.to_string()).or_default();
+                    (word.0, word.1) = (word.0 + 1, word.1 + value);
+                }
+            }
+        });
+    }
+
+    /// What was counted since the last call. Given back by [`Plane::untold`] if it could not be sent.
+    pub fn tallies(&self) -> Vec<ClusterTally> {
+        let mut counts = lock(&self.counts);
+        let endpoints = std::mem::take(&mut counts.endpoints);
+        let dropped = std::mem::take(&mut counts.dropped);
+        let classes = self.described.classes.iter().enumerate();
+        classes
+            .map(|(i, class)| {
+                let met = endpoints.iter().filter(|((c, _), _)| *c == i);
+                let met = met.map(|(place, e)| EndpointTally {
+                    in_progress: counts.under_way.get(place).copied().unwrap_or(0),
+                    ..e.clone()
+                });
+                let dropped = dropped.get(&i).map(|n| (class.name.clone(), *n));
+                ClusterTally {
+                    cluster: names::cluster(&self.described.service, &class.name),
+                    endpoints: met.collect(),
+                    dropped: dropped.into_iter().collect(),
+                }
+            })
+            .collect()
+    }
+
+    /// A report that could not be sent is added to the next: told once, never twice.
+    pub fn untold(&self, tallies: Vec<ClusterTally>) {
+        for (class, tally) in tallies.into_iter().enumerate() {
+            let dropped: u64 = tally.dropped.values().sum();
+            if dropped > 0 {
+                *lock(&self.counts).dropped.entry(class).or_default() += dropped;
+            }
+            for e in tally.endpoints {
+                let server = lock(&self.servers).place(&e.address);
+                self.count(class, server, |t| {
+                    t.issued += e.issued;
+                    t.good += e.good;
+                    t.failed += e.failed;
+                    t.good_ms += e.good_ms;
+                    for (name, (n, sum)) in &e.words {
+                        let word = t.words.entry(name.clone()).or_default();
+                        (word.0, word.1) = (word.0 + n, word.1 + sum);
+                    }
+                });
+            }
+        }
+    }
+}
+
+/// The other side has closed a connection that was kept, or said something unasked.
+fn is_closed(socket: &TcpStream) -> bool {
+    let peeked = socket.inner().peek(&mut [0; 1]);
+    !matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+}
+
+/// An answer of the proxy's own.
+fn answer(to: &mut TcpStream, status: u16, why: &str, closes: bool) -> io::Result<()> {
+    let close = if closes { "Connection: close\r\n" } else { "" };
+    let again = match status {
+        503 => format!("Retry-After: {COME_AGAIN_S}\r\n"),
+        _ => String::new(),
+    };
+    let length = why.len() + 1;
+    let text = format!(
+        "HTTP/1.1 {status} X\r\nContent-Type: text/plain\r\nContent-Length: {length}\r\n{again}{close}\r\n{why}\n"
+    );
+    to.write_all(text.as_bytes())
+}
