--- a/crates/proxy/src/plane.rs
+++ b/crates/proxy/src/plane.rs
@@ -514,12 +514,24 @@
         let whole = write_head(&first, &found.head, found.body, head.closes());
         let body = found.body;
         let bodiless = head.method == "HEAD" || matches!(found.head.status, 204 | 304);
-        let passed = client.socket.write_all(&whole).and_then(|()| {
-            found
-                .source
-                .pass(body, |piece| write_piece(&mut client.socket, body, piece))?;
+        // A head goes out with the first of its body, in one packet, where the body's length is known.
+        let mut ahead = whole;
+        let begins = match body {
+            Body::Length(_) => Ok(()),
+            Body::Chunked | Body::UntilClose => {
+                client.socket.write_all(&std::mem::take(&mut ahead))
+            }
+        };
+        let passed = begins.and_then(|()| {
+            found.source.pass(body, |piece| {
+                if ahead.is_empty() {
+                    return write_piece(&mut client.socket, body, piece);
+                }
+                ahead.extend_from_slice(piece);
+                client.socket.write_all(&std::mem::take(&mut ahead))
+            })?;
             match body {
-                Body::Length(_) => Ok(()),
+                Body::Length(_) => client.socket.write_all(&ahead),
                 Body::Chunked | Body::UntilClose if bodiless => Ok(()),
                 Body::Chunked | Body::UntilClose => client.socket.write_all(b"0\r\n\r\n"),
             }
