--- a/crates/standins/src/day.rs
+++ b/crates/standins/src/day.rs
@@ -43,7 +43,7 @@
     BreakStreams,
 }
 
-const WORDS: [(&str, What); 22] = [
+pub const WORDS: [(&str, What); 22] = [
     ("drain", What::Drain),
     ("restart", What::Restart),
     ("vanish", What::Vanish),
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod day;
+mod hunt;
 mod play;
 mod proxy;
 mod relay;
@@ -38,6 +39,19 @@
         #[arg(long)]
         keep: Option<PathBuf>,
     },
+    /// Draw days by chance and play them; exit code 1 if a rule broke on one, whose file is kept.
+    Hunt {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 20)]
+        days: u64,
+        /// Days that are played side by side.
+        #[arg(long, default_value_t = 4)]
+        at_once: usize,
+        /// Where files of days are written; those on which nothing broke are removed.
+        #[arg(long, default_value = "found")]
+        keep: PathBuf,
+    },
     /// The controller itself, as a process of its own.
     #[command(hide = true, disable_help_flag = true)]
     Controller {
@@ -65,6 +79,24 @@
             let line = std::iter::once(OsString::from("dahliapoint")).chain(line);
             dahliapoint_daemon::cli::main(line)
         }
+        Command::Hunt {
+            seed,
+            days,
+            at_once,
+            keep,
+        } => match hunt::hunt(seed, days, at_once, &keep) {
+            Ok(broken) if broken.is_empty() => ExitCode::SUCCESS,
+            Ok(broken) => {
+                broken
+                    .iter()
+                    .for_each(|f| println!("kept: {}", f.display()));
+                ExitCode::from(BROKEN)
+            }
+            Err(why) => {
+                eprintln!("{why}");
+                ExitCode::from(UNPLAYED)
+            }
+        },
         Command::Sabotaged {
             wrong,
             file,
