--- a/crates/intake/src/belief.rs
+++ b/crates/intake/src/belief.rs
@@ -20,6 +20,9 @@
 const APART: f64 = 3.0;
 /// A word that is repeated to the digit while what is met moves by this share is not of now either.
 const MOVED: f64 = 0.5;
+/// More than this share of the servers cannot all be telling stale words: then it is the way to them, or
+/// the proxies, that is slow.
+const MANY: f64 = 0.3;
 /// A proxy's failing share is this far from what all others met at the same servers ...
 const CONTRARY: f64 = 0.4;
 /// ... at this share of the servers that it shares with others, of at least so many.
@@ -117,16 +120,26 @@
     /// A period of what servers said and proxies met there.
     pub fn hear_servers(&mut self, words: &BTreeMap<usize, Word>) -> Vec<Change> {
         let mut changes = Vec::new();
-        for (server, word) in words {
+        let evidence: Vec<f64> = words
+            .iter()
+            .map(|(server, word)| {
+                against_the_server(self.servers.entry(*server).or_default(), word)
+            })
+            .collect();
+        // One server among few is judged all the same: there are no others to tell it from.
+        let suspected = evidence.iter().filter(|e| **e > 0.0).count();
+        let many = suspected > 1 && suspected as f64 > MANY * words.len() as f64;
+        for ((server, word), evidence) in words.iter().zip(evidence) {
+            let evidence = if many { 0.0 } else { evidence };
             let told = self.servers.entry(*server).or_default();
-            let evidence = against_the_server(told, word);
             if told.suspicion.weigh(evidence) {
                 changes.push(Change::StaleServer(*server, told.suspicion.flagged));
             }
             let same = told
                 .last
                 .is_some_and(|l| (l.own_ms, l.own_queue) == (word.own_ms, word.own_queue));
-            if !same {
+            // Where much has moved at once, what is met from now on is the new ground to judge from.
+            if !same || many {
                 told.met_then = word.met_ms;
             }
             told.last = Some(*word);
--- a/crates/intake/tests/intake.rs
+++ b/crates/intake/tests/intake.rs
@@ -271,6 +271,28 @@
     }
 }
 
+#[test]
+fn a_slow_way_to_all_servers_flags_none_and_one_stale_server_among_them_is_flagged() {
+    let round = |slow: &dyn Fn(usize) -> bool| {
+        let word = |server| Word {
+            own_ms: Some(20.0),
+            own_queue: Some(0.0),
+            met_ms: if slow(server) { 300.0 } else { 22.0 },
+            tries: 50.0,
+        };
+        (0..10)
+            .map(|server| (server, word(server)))
+            .collect::<BTreeMap<_, _>>()
+    };
+    let mut belief = Belief::default();
+    assert!((0..40).all(|_| belief.hear_servers(&round(&|_| true)).is_empty()));
+    assert!((0..40).all(|_| belief.hear_servers(&round(&|s| s < 4)).is_empty()));
+    let changes: Vec<_> = (0..6)
+        .flat_map(|_| belief.hear_servers(&round(&|s| s == 3)))
+        .collect();
+    assert_eq!(changes, [Change::StaleServer(3, true)]);
+}
+
 #[test]
 fn no_flag_rises_in_an_hour_of_calm() {
     let mut chance = Chance::from(5);
--- a/crates/standins/src/play.rs
+++ b/crates/standins/src/play.rs
@@ -398,7 +398,7 @@
         Ok(()) => dahliapoint_daemon::status::fetch(controller).ok(),
         Err(_) => None,
     };
-    let deciding = deciding.map(|(overview, _)| overview["deciding"].clone());
+    let overview = deciding.map(|(overview, _)| overview).unwrap_or_default();
     if done.is_ok() {
         playing.ended_well = playing.process.end();
     }
@@ -421,7 +421,8 @@
         "ended_orderly": playing.ended_well,
         "cpu_ms_since_last_start": used.map(|u| u.0),
         "peak_memory_mib": used.map(|u| u.1),
-        "deciding": deciding,
+        "deciding": overview["deciding"],
+        "intake": overview["intake"],
     });
     report["kept"] = json!(!world.ledger.is_broken());
     Ok(report)
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -120,6 +120,8 @@
     joined: Mutex<Option<f64>>,
     bare_since: Mutex<Option<f64>>,
     last_message: Mutex<f64>,
+    /// Since when it reads its stream (again): nobody can tell it anything before.
+    reads_since: Mutex<f64>,
     last_lines: Mutex<f64>,
     stalled_until: Mutex<f64>,
     /// Connections kept, with when they were last used.
@@ -151,6 +153,7 @@
             joined: Mutex::default(),
             bare_since: Mutex::default(),
             last_message: Mutex::new(0.0),
+            reads_since: Mutex::new(0.0),
             last_lines: Mutex::new(f64::NEG_INFINITY),
             stalled_until: Mutex::new(0.0),
             pools: Mutex::default(),
@@ -372,6 +375,7 @@
         loop {
             while self.deaf.load(Ordering::SeqCst) && !self.gone() {
                 sleep(Duration::from_millis(100));
+                *lock(&self.reads_since) = layer.world.now_ms();
             }
             let soon = layer.world.at(layer.world.now_ms() + 500.0);
             match inbound.message_until::<DeltaDiscoveryResponse>(Some(soon)) {
@@ -679,10 +683,13 @@
             (told[server].clone(), *lock(&self.last_message))
         };
         if let Some(joined) = *lock(&self.joined) {
-            let drained = (told.0.state != "ready").then_some(told.0.since_ms);
+            // A proxy that takes nothing out of its stream cannot be told; its time runs from when it reads.
+            let deaf = self.deaf.load(Ordering::SeqCst);
+            let drained = (told.0.state != "ready" && !deaf).then_some(told.0.since_ms);
+            let since = joined.max(*lock(&self.reads_since));
             world
                 .ledger
-                .sent(sent, &self.name, joined, &backend.name, drained);
+                .sent(sent, &self.name, since, &backend.name, drained);
         }
         let start = told.0.started_ms.map(|_| told.0.since_ms);
         let figures = &world.ledger.figures;
--- a/crates/standins/tests/days.rs
+++ b/crates/standins/tests/days.rs
@@ -81,6 +81,12 @@
     keeps("odd-proxies", &NO_COLD);
 }
 
+/// Found by hunt.
+#[test]
+fn proxies_read_nothing_while_servers_are_gone() {
+    keeps("deaf-while-gone", &NO_COLD);
+}
+
 /// Whatever the storm, drains are heard, and estimates stay near what was tried.
 #[test]
 fn a_storm_of_reports() {
