The proxy ends a visit at the server when its client has gone away

Servers that can stop should, and a visit that nobody waits for is work wasted. Visits that wait for their answer are looked at from aside every 20 ms; where the client is gone the server's connection is ended. Such a try is neither good nor failed, so it says nothing of the server.

--- a/crates/proxy/src/plane.rs
+++ b/crates/proxy/src/plane.rs
@@ -10,14 +10,16 @@
 use dahliapoint_xds::{ClusterTally, EndpointTally, Held, names};
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, Write};
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tracing::{debug, warn};
 
 /// A body up to this size is held, so that its visit can be tried again.
 const HELD: u64 = 64 * 1024;
+/// How often clients of waiting visits are looked at.
+const LOOK: Duration = Duration::from_millis(20);
 /// Connections kept to one server.
 const KEPT: usize = 64;
 /// How soon a refused client is to come again, in seconds.
@@ -76,12 +78,23 @@
     pools: Mutex<HashMap<usize, Vec<(Source, Instant)>>>,
     counts: Mutex<Counts>,
     clients: AtomicUsize,
+    waiting: Mutex<HashMap<u64, Arc<Waiting>>>,
+    visits: AtomicU64,
 }
 
 /// How a try ended.
 enum Tried {
     Answered(Box<Answer>),
     Failed(Failure),
+    /// The client went away; the server was told by its connection's end.
+    Cancelled,
+}
+
+/// A visit that waits for its answer: both ends, as they are looked at from aside.
+struct Waiting {
+    client: std::net::TcpStream,
+    server: std::net::TcpStream,
+    cancelled: AtomicBool,
 }
 
 struct Answer {
@@ -130,6 +143,8 @@
             pools: Mutex::default(),
             counts: Mutex::default(),
             clients: AtomicUsize::new(0),
+            waiting: Mutex::default(),
+            visits: AtomicU64::new(0),
             described,
         };
         plane.swap(None, &|_| false, 0);
@@ -210,6 +225,13 @@
     pub fn serve(self: &Arc<Self>) -> io::Result<SocketAddr> {
         let listener = listen(self.described.listen)?;
         let address = listener.local_addr()?;
+        let watching = self.clone();
+        spawn(move || {
+            loop {
+                sleep(LOOK);
+                watching.look_for_the_gone();
+            }
+        });
         let plane = self.clone();
         spawn(move || {
             for socket in listener.incoming() {
@@ -235,6 +257,23 @@
         Ok(address)
     }
 
+    /// Visits whose client has gone away need no answer: their connections to servers are ended, so that
+    /// servers which can stop do.
+    fn look_for_the_gone(&self) {
+        let waiting: Vec<Arc<Waiting>> = lock(&self.waiting).values().cloned().collect();
+        for visit in waiting {
+            let gone = match visit.client.peek(&mut [0; 1]) {
+                Ok(0) => true,
+                // Said ahead of the answer: the next request, and still there.
+                Ok(_) => false,
+                Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+            };
+            if gone && !visit.cancelled.swap(true, Ordering::SeqCst) {
+                let _ = visit.server.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
     /// A client's connection: one visit after the other.
     fn converse(&self, socket: TcpStream) {
         let _ = socket.set_nodelay(true);
@@ -369,6 +408,11 @@
                 .or_default() += 1;
             match self.attempt(client, head, server, brought, until) {
                 Tried::Answered(found) => return Ok((found, server, begun, class)),
+                Tried::Cancelled => {
+                    // Neither good nor failed: it says nothing of the server.
+                    self.left(class, server);
+                    return Err(499);
+                }
                 Tried::Failed(failure) => {
                     self.ended(class, server, begun, false);
                     let left = until.saturating_duration_since(Instant::now());
@@ -398,18 +442,23 @@
             }
             false => t.failed += 1,
         });
-        if let Some(many) = lock(&self.counts).under_way.get_mut(&(class, server)) {
-            *many -= 1;
-        }
+        self.left(class, server);
         let now = self.now_ms();
         let mut table = lock(&self.table);
-        table.picker.ended(server);
         if table.shunning.met(now, server, good) {
             drop(table);
             warn!(server = ?self.address(server), "kept away from after a run of failures");
         }
     }
 
+    /// A try is not under way any more.
+    fn left(&self, class: usize, server: usize) {
+        if let Some(many) = lock(&self.counts).under_way.get_mut(&(class, server)) {
+            *many -= 1;
+        }
+        lock(&self.table).picker.ended(server);
+    }
+
     fn address(&self, server: usize) -> Option<SocketAddr> {
         lock(&self.servers).addresses.get(server).copied().flatten()
     }
@@ -434,7 +483,7 @@
         Ok((Source::of(socket), true))
     }
 
-    /// Sends the visit to a server and reads the head of its answer.
+    /// Sends the visit to a server and reads the head of its answer, while the client is watched.
     fn attempt(
         &self,
         client: &mut Source,
@@ -443,10 +492,40 @@
         brought: &Brought,
         until: Instant,
     ) -> Tried {
-        let (mut source, _) = match self.connection(server, until) {
+        let (source, _) = match self.connection(server, until) {
             Ok(found) => found,
             Err(failure) => return Tried::Failed(failure),
         };
+        let hands = (
+            client.socket.inner().try_clone(),
+            source.socket.inner().try_clone(),
+        );
+        let (Ok(near), Ok(far)) = hands else {
+            return Tried::Failed(Failure::NeverRan);
+        };
+        let waiting = Arc::new(Waiting {
+            client: near,
+            server: far,
+            cancelled: AtomicBool::new(false),
+        });
+        let id = self.visits.fetch_add(1, Ordering::SeqCst);
+        lock(&self.waiting).insert(id, waiting.clone());
+        let tried = self.call(client, source, head, brought, until);
+        lock(&self.waiting).remove(&id);
+        match waiting.cancelled.load(Ordering::SeqCst) {
+            true => Tried::Cancelled,
+            false => tried,
+        }
+    }
+
+    fn call(
+        &self,
+        client: &mut Source,
+        mut source: Source,
+        head: &Head,
+        brought: &Brought,
+        until: Instant,
+    ) -> Tried {
         let Ok(limit) = shut_at(&source.socket, until) else {
             return Tried::Failed(Failure::NeverRan);
         };
--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -320,6 +320,46 @@
     assert_eq!(Client::of(&p).visit("nothing"), 404);
 }
 
+#[test]
+fn a_client_that_goes_away_ends_its_visit_at_the_server_and_harms_no_record() {
+    // A server that tells when its connection was ended while it still worked.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let ended = Arc::new(AtomicUsize::new(0));
+    let count = ended.clone();
+    std::thread::spawn(move || {
+        for mut socket in listener.incoming().map_while(Result::ok) {
+            let count = count.clone();
+            std::thread::spawn(move || {
+                let mut ahead = Vec::new();
+                read_message(&mut socket, &mut ahead).unwrap();
+                let end = socket.read(&mut [0; 16]);
+                count.fetch_add(usize::from(matches!(end, Ok(0) | Err(_))), Ordering::SeqCst);
+            });
+        }
+    });
+    let p = proxy(nowhere(), &[address], "");
+    for i in 1..=8 {
+        let mut client = Client::of(&p);
+        client
+            .socket
+            .write_all(b"GET /view HTTP/1.1\r\nHost: h\r\n\r\n")
+            .unwrap();
+        drop(client);
+        until("the server's side ended", || {
+            ended.load(Ordering::SeqCst) == i
+        });
+    }
+    let tally = &p.plane.tallies()[0].endpoints;
+    assert_eq!(
+        tally
+            .iter()
+            .map(|e| (e.issued, e.failed))
+            .collect::<Vec<_>>(),
+        [(8, 0)]
+    );
+}
+
 #[test]
 fn bodies_of_any_size_pass_both_ways_however_they_are_framed() {
     let echo = server(|came| {
