The proxy goes to the next controller and back to the first later

Proxies are joined to one controller at a time; one that is lost sends its proxies to the next, and without a way back that one would keep them all. With home_after a proxy ends its stream after that time and dials the first again; it keeps its table all the while.

--- a/crates/proxy/src/described.rs
+++ b/crates/proxy/src/described.rs
@@ -30,6 +30,8 @@
     pub strikes: u32,
     pub shun_ms: f64,
     pub redial_ms: (f64, f64),
+    /// After so long with another controller the first is dialed again; 0: never.
+    pub home_after_ms: f64,
     pub idle_ms: f64,
     pub connect_ms: f64,
     /// It stands still for so long for each line of a table that it is sent: what other proxies do.
@@ -122,6 +124,7 @@
         strikes,
         shun_ms,
         redial_ms: (from, to),
+        home_after_ms: at.field("home_after").time(0.0..=3.6e6, Some(0.0)),
         idle_ms: at.field("idle").time(1.0..=3.6e6, Some(15_000.0)),
         connect_ms: at.field("connect").time(1.0..=60_000.0, Some(250.0)),
         stall_us: at.field("stall_by_line").time(0.0..=100.0, Some(0.0)) * 1e3,
--- a/crates/proxy/src/steering.rs
+++ b/crates/proxy/src/steering.rs
@@ -57,13 +57,19 @@
         let mut chance = Chance::from(d.seed ^ 0x5eed);
         let mut at = 0;
         loop {
-            let to = d.controllers[at % d.controllers.len()];
-            let ended = self.one_stream(to);
+            let to = d.controllers[at];
+            let away = at > 0 && d.home_after_ms > 0.0;
+            let home = away.then(|| Duration::from_secs_f64(d.home_after_ms / 1e3));
+            let ended = self.one_stream(to, home);
             self.joined.store(false, Ordering::SeqCst);
-            if let Err(status) = ended {
-                warn!(controller = %to, %status, "the stream to the controller is lost; the table is kept");
-            }
-            at += 1;
+            at = match ended {
+                Ok(true) => 0,
+                Ok(false) => (at + 1) % d.controllers.len(),
+                Err(status) => {
+                    warn!(controller = %to, %status, "the stream to the controller is lost; the table is kept");
+                    (at + 1) % d.controllers.len()
+                }
+            };
             let (from, until) = d.redial_ms;
             sleep(Duration::from_secs_f64(
                 (from + (until - from) * chance.draw()) / 1e3,
@@ -71,7 +77,12 @@
         }
     }
 
-    fn one_stream(self: &Arc<Self>, to: SocketAddr) -> Result<(), Status> {
+    /// One stream, to its end; after the time to go home it is ended from here, which is told.
+    fn one_stream(
+        self: &Arc<Self>,
+        to: SocketAddr,
+        home: Option<Duration>,
+    ) -> Result<bool, Status> {
         let link = Link::dial(to, Limits::default())?;
         let mut dialed = link.open(ADS, None)?;
         let begin = lock(&self.holder).begin();
@@ -86,15 +97,20 @@
             let (own, link, over) = (self.clone(), link.clone(), over.clone());
             spawn(move || own.report(&link, &over))
         };
+        let home = home.map(|after| Instant::now() + after);
         let ended = loop {
-            match inbound.message::<DeltaDiscoveryResponse>() {
+            if home.is_some_and(|at| Instant::now() >= at) {
+                break Ok(true);
+            }
+            match inbound.message_until::<DeltaDiscoveryResponse>(home) {
+                Err(e) if e.code == Code::DeadlineExceeded => {}
                 Ok(Some(response)) => {
                     let sent = self.take(&response);
                     if let Some(e) = sent.iter().find_map(|r| outbound.send(r).err()) {
                         break Err(e);
                     }
                 }
-                Ok(None) => break Ok(()),
+                Ok(None) => break Ok(false),
                 Err(e) => break Err(e),
             }
         };
--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -283,6 +283,32 @@
     (0..50).for_each(|_| assert_eq!(client.visit("view"), 200));
 }
 
+#[test]
+fn a_proxy_goes_to_the_next_controller_and_back_to_the_first_later() {
+    let s = plain();
+    let listed = [(s.address, 1.0, Ready)];
+    let (first, second) = (nowhere(), controller(&listed, "127.0.0.1:0"));
+    let text = SETTINGS.replace(
+        "'CONTROLLER'",
+        &format!("'{first}', '{}'", second.address()),
+    );
+    let text = text + "home_after: 200ms\n";
+    let described = described::parse("p.yaml", &text).unwrap();
+    let plane = Plane::new(described, &[]);
+    let steering = Steering::start(plane.clone());
+    let joined = |d: &Daemon| {
+        let view = d.engine().overview();
+        view["proxies"].as_array().is_some_and(|p| !p.is_empty())
+    };
+    until("joined the second", || {
+        joined(&second) && plane.lines() == 1
+    });
+    let home = controller(&listed, &first.to_string());
+    until("back at the first", || joined(&home) && !joined(&second));
+    until("and stays there", || steering.is_joined());
+    assert_eq!(plane.lines(), 1, "its table was kept all the while");
+}
+
 #[test]
 fn proof_is_tried_again_elsewhere_and_an_effect_never_without_it() {
     let ran = Arc::new(AtomicUsize::new(0));
