--- a/crates/standins/src/play.rs
+++ b/crates/standins/src/play.rs
@@ -388,7 +388,8 @@
         killed_ms: None,
         ended_well: false,
         controller,
-        next_watch: begun + day.watch_ms,
+        // An estimate covers some seconds: before these have passed there is nothing to compare.
+        next_watch: begun + COVERED_MS + 2.0 * ON_THE_WAY_MS + day.watch_ms,
         seen: Arc::default(),
     };
     let done = playing.go(begun);
