--- /dev/null
+++ b/crates/proxy/src/around.rs
@@ -0,0 +1,46 @@
+//! What is around a proxy: its way to servers, and whoever looks on. Plain sockets by themselves; stand-ins
+//! put cuts and a slow channel in between, and note what came out of the sockets.
+
+use dahliapoint_fibers::{TcpStream, dial};
+use dahliapoint_xds::pb::discovery::DeltaDiscoveryResponse;
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Called by the proxy at the moments that are named here; all that is called may park its coroutine.
+pub trait Around: Send + Sync {
+    /// Connects to a server.
+    ///
+    /// # Errors
+    /// Why it cannot be reached: proof that nothing ran there.
+    fn dial(&self, to: SocketAddr, patience: Duration) -> io::Result<TcpStream> {
+        dial(to, patience)
+    }
+
+    /// Whether a line that names this server can be carried out.
+    fn knows(&self, server: &str) -> bool {
+        !server.is_empty()
+    }
+
+    /// The stream to a controller is up, or over.
+    fn joined(&self, _is_up: bool) {}
+
+    /// Before anything is read from the stream.
+    fn reads(&self) {}
+
+    /// A message came out of its socket; when it may be taken.
+    fn came(&self, _message: &DeltaDiscoveryResponse) -> Instant {
+        Instant::now()
+    }
+
+    /// A message was taken, or refused; what it says is in force (or the old table is).
+    fn took(&self, _message: &DeltaDiscoveryResponse, _came: Instant, _is_refused: bool) {}
+
+    /// A message that came will not be taken: its stream ended first.
+    fn dropped(&self, _message: &DeltaDiscoveryResponse) {}
+}
+
+/// Plain sockets, nobody looking on.
+pub struct Plain;
+
+impl Around for Plain {}
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -4,9 +4,12 @@
 use dahliapoint_proxy::described;
 use dahliapoint_proxy::plane::Plane;
 use dahliapoint_proxy::steering::Steering;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::{Duration, Instant};
 
 #[derive(Parser)]
 #[command(name = "dahliapoint-proxy", version)]
@@ -77,11 +80,13 @@
         .with_writer(std::io::stderr)
         .with_ansi(false)
         .init();
+    // Before any part starts, so that no signal is missed.
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("signals: {e}"))?;
     let plane = Plane::new(d, &roster);
     let address = plane
         .serve()
         .map_err(|e| format!("{}: {e}", plane.described.listen))?;
-    let _steering = Steering::start(plane.clone());
+    let steering = Steering::start(plane.clone());
     tracing::info!(%address, standing = plane.lines(), "serving");
     if let Some(path) = address_file {
         let aside = path.with_extension("aside");
@@ -89,7 +94,12 @@
             .and_then(|()| std::fs::rename(&aside, path))
             .map_err(|e| format!("{}: {e}", path.display()))?;
     }
-    loop {
-        std::thread::park();
+    if signals.forever().next().is_some() {
+        tracing::info!("ending in order");
+        steering.end();
+        let hard = plane.described.classes.iter().map(|c| c.hard_limit_ms);
+        let longest = Duration::from_secs_f64(hard.fold(0.0, f64::max) / 1e3);
+        plane.end(address, Instant::now() + longest);
     }
+    Ok(())
 }
--- a/crates/proxy/src/plane.rs
+++ b/crates/proxy/src/plane.rs
@@ -1,12 +1,13 @@
 //! The data plane: takes visits from clients and carries each to a server by the table in use.
 
 use crate::Chance;
+use crate::around::{Around, Plain};
 use crate::described::{Described, Listed};
 use crate::http::{Body, Found, Head, Source, Wrong, write_head, write_piece};
 use crate::picking::{Line, Picker};
 use crate::shunning::Shunning;
 use crate::trying::{self, Budget, Failed, Failure, Level, Ordered};
-use dahliapoint_fibers::{TcpStream, Timer, dial, listen, shut_at, sleep, spawn};
+use dahliapoint_fibers::{Bell, TcpStream, Timer, dial, listen, shut_at, sleep, spawn};
 use dahliapoint_xds::{ClusterTally, EndpointTally, Held, names};
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, Write};
@@ -78,8 +79,14 @@
     pools: Mutex<HashMap<usize, Vec<(Source, Instant)>>>,
     counts: Mutex<Counts>,
     clients: AtomicUsize,
+    /// Connections of clients, to be ended with the plane.
+    met: Mutex<HashMap<u64, std::net::TcpStream>>,
     waiting: Mutex<HashMap<u64, Arc<Waiting>>>,
+    /// Rung when a visit waits where none did: nobody is looked for while there is nobody.
+    waits: Bell,
     visits: AtomicU64,
+    over: AtomicBool,
+    around: Arc<dyn Around>,
 }
 
 /// How a try ended.
@@ -114,6 +121,11 @@
 impl Plane {
     /// A plane with its standing table: so many servers of the roster, of its own zone if three are there.
     pub fn new(described: Described, roster: &[Listed]) -> Arc<Plane> {
+        Plane::within(described, roster, Arc::new(Plain))
+    }
+
+    /// The same, with something else than plain sockets around it.
+    pub fn within(described: Described, roster: &[Listed], around: Arc<dyn Around>) -> Arc<Plane> {
         let mut chance = Chance::from(described.seed);
         let ready = || roster.iter().filter(|l| l.ready);
         let near: Vec<&Listed> = ready().filter(|l| l.zone == described.zone).collect();
@@ -143,8 +155,12 @@
             pools: Mutex::default(),
             counts: Mutex::default(),
             clients: AtomicUsize::new(0),
+            met: Mutex::default(),
             waiting: Mutex::default(),
+            waits: Bell::default(),
             visits: AtomicU64::new(0),
+            over: AtomicBool::new(false),
+            around,
             described,
         };
         plane.swap(None, &|_| false, 0);
@@ -218,7 +234,42 @@
         lock(&self.table).picker.lines().len()
     }
 
-    /// Serves clients, until the process ends.
+    /// The servers of the table in use.
+    pub fn servers(&self) -> Vec<SocketAddr> {
+        let table = lock(&self.table);
+        let picked: Vec<usize> = table.picker.lines().iter().map(|l| l.server).collect();
+        drop(table);
+        picked.into_iter().filter_map(|s| self.address(s)).collect()
+    }
+
+    pub(crate) fn around(&self) -> &Arc<dyn Around> {
+        &self.around
+    }
+
+    pub fn is_over(&self) -> bool {
+        self.over.load(Ordering::SeqCst)
+    }
+
+    /// Takes no more clients. Those that are there have until then for their visits; what is left is cut.
+    /// `at` is where it serves.
+    pub fn end(&self, at: SocketAddr, until: Instant) {
+        self.over.store(true, Ordering::SeqCst);
+        // Wakes the accepting coroutine, which then sees the end.
+        let _ = dial(at, Duration::from_secs(1));
+        while !lock(&self.waiting).is_empty() && Instant::now() < until {
+            sleep(LOOK);
+        }
+        for client in lock(&self.met).values() {
+            let _ = client.shutdown(Shutdown::Both);
+        }
+        for visit in lock(&self.waiting).values() {
+            let _ = visit.server.shutdown(Shutdown::Both);
+        }
+        lock(&self.pools).clear();
+        self.waits.ring();
+    }
+
+    /// Serves clients, until it is ended.
     ///
     /// # Errors
     /// When the address cannot be bound.
@@ -227,14 +278,19 @@
         let address = listener.local_addr()?;
         let watching = self.clone();
         spawn(move || {
-            loop {
-                sleep(LOOK);
-                watching.look_for_the_gone();
+            while !watching.is_over() {
+                watching.waits.wait(None);
+                while watching.look_for_the_gone() > 0 {
+                    sleep(LOOK);
+                }
             }
         });
         let plane = self.clone();
         spawn(move || {
             for socket in listener.incoming() {
+                if plane.is_over() {
+                    return;
+                }
                 let Ok(socket) = socket else {
                     sleep(Duration::from_millis(20));
                     continue;
@@ -249,7 +305,12 @@
                 }
                 let plane = plane.clone();
                 spawn(move || {
+                    let id = plane.visits.fetch_add(1, Ordering::SeqCst);
+                    if let Ok(hand) = socket.inner().try_clone() {
+                        lock(&plane.met).insert(id, hand);
+                    }
                     plane.converse(socket);
+                    lock(&plane.met).remove(&id);
                     plane.clients.fetch_sub(1, Ordering::SeqCst);
                 });
             }
@@ -259,9 +320,9 @@
 
     /// Visits whose client has gone away need no answer: their connections to servers are ended, so that
     /// servers which can stop do.
-    fn look_for_the_gone(&self) {
+    fn look_for_the_gone(&self) -> usize {
         let waiting: Vec<Arc<Waiting>> = lock(&self.waiting).values().cloned().collect();
-        for visit in waiting {
+        for visit in &waiting {
             let gone = match visit.client.peek(&mut [0; 1]) {
                 Ok(0) => true,
                 // Said ahead of the answer: the next request, and still there.
@@ -272,6 +333,7 @@
                 let _ = visit.server.shutdown(Shutdown::Both);
             }
         }
+        waiting.len()
     }
 
     /// A client's connection: one visit after the other.
@@ -295,7 +357,7 @@
             };
             drop(idle);
             let goes_on = self.visit(&mut client, &head).unwrap_or(false);
-            if !goes_on || head.closes() {
+            if !goes_on || head.closes() || self.is_over() {
                 return;
             }
         }
@@ -477,7 +539,8 @@
         }
         let to = self.address(server).ok_or(Failure::NeverRan)?;
         let left = until.saturating_duration_since(Instant::now());
-        let socket = dial(to, left.min(ms(self.described.connect_ms)));
+        let patience = left.min(ms(self.described.connect_ms));
+        let socket = self.around.dial(to, patience);
         let socket = socket.map_err(|_| Failure::NeverRan)?;
         let _ = socket.set_nodelay(true);
         Ok((Source::of(socket), true))
@@ -509,7 +572,14 @@
             cancelled: AtomicBool::new(false),
         });
         let id = self.visits.fetch_add(1, Ordering::SeqCst);
-        lock(&self.waiting).insert(id, waiting.clone());
+        let first = {
+            let mut all = lock(&self.waiting);
+            all.insert(id, waiting.clone());
+            all.len() == 1
+        };
+        if first {
+            self.waits.ring();
+        }
         let tried = self.call(client, source, head, brought, until);
         lock(&self.waiting).remove(&id);
         match waiting.cancelled.load(Ordering::SeqCst) {
--- a/crates/proxy/src/steering.rs
+++ b/crates/proxy/src/steering.rs
@@ -3,8 +3,8 @@
 
 use crate::Chance;
 use crate::plane::{Plane, lock};
-use dahliapoint_fibers::{Bell, sleep, spawn};
-use dahliapoint_grpc::{Code, Limits, Link, Status};
+use dahliapoint_fibers::{Bell, Queue, Received, sleep, spawn};
+use dahliapoint_grpc::{Code, Inbound, Limits, Link, Outbound, Status};
 use dahliapoint_xds::names::LEDS;
 use dahliapoint_xds::pb::discovery::DeltaDiscoveryResponse;
 use dahliapoint_xds::pb::load_stats::LoadStatsResponse;
@@ -20,7 +20,15 @@
 /// How often reports go out before a controller says.
 const FIRST_EVERY: Duration = Duration::from_secs(1);
 
-/// Steers a plane, for as long as the process lives.
+/// Messages that may wait between the stream and the table.
+const MESSAGES: usize = 256;
+/// How soon an end that was asked for is seen.
+const SOON: Duration = Duration::from_millis(300);
+
+/// A message, when it came and when it may be taken.
+type Came = (DeltaDiscoveryResponse, Instant, Instant);
+
+/// Steers a plane until it is ended.
 pub struct Steering {
     plane: Arc<Plane>,
     holder: Mutex<Holder>,
@@ -28,6 +36,7 @@
     joined: AtomicBool,
     pub applied: AtomicU64,
     pub refused: AtomicU64,
+    over: AtomicBool,
 }
 
 impl Steering {
@@ -39,6 +48,7 @@
             joined: AtomicBool::new(false),
             applied: AtomicU64::new(0),
             refused: AtomicU64::new(0),
+            over: AtomicBool::new(false),
             plane,
         });
         let own = steering.clone();
@@ -50,18 +60,29 @@
         self.joined.load(Ordering::SeqCst)
     }
 
+    /// Leaves its controller and dials no other. The plane goes on with what it holds.
+    pub fn end(&self) {
+        self.over.store(true, Ordering::SeqCst);
+    }
+
+    fn is_over(&self) -> bool {
+        self.over.load(Ordering::SeqCst)
+    }
+
     /// One controller after the other: a jittered wait between two dials, so that many proxies that lose
     /// one controller do not come to the next in one moment.
     fn live(self: &Arc<Self>) {
         let d = &self.plane.described;
         let mut chance = Chance::from(d.seed ^ 0x5eed);
         let mut at = 0;
-        loop {
+        while !self.is_over() {
             let to = d.controllers[at];
             let away = at > 0 && d.home_after_ms > 0.0;
             let home = away.then(|| Duration::from_secs_f64(d.home_after_ms / 1e3));
             let ended = self.one_stream(to, home);
-            self.joined.store(false, Ordering::SeqCst);
+            if self.joined.swap(false, Ordering::SeqCst) {
+                self.plane.around().joined(false);
+            }
             at = match ended {
                 Ok(true) => 0,
                 Ok(false) => (at + 1) % d.controllers.len(),
@@ -89,46 +110,112 @@
         for request in &begin {
             dialed.outbound.send(request)?;
         }
-        let (mut outbound, mut inbound) = dialed.answered()?;
+        let (mut outbound, inbound) = dialed.answered()?;
         info!(controller = %to, "joined");
         self.joined.store(true, Ordering::SeqCst);
+        self.plane.around().joined(true);
         let over = Arc::new(Bell::default());
         let reporting = {
             let (own, link, over) = (self.clone(), link.clone(), over.clone());
             spawn(move || own.report(&link, &over))
         };
+        // Read apart from being taken: a message that stands still holds no later one in the socket.
+        let queue = Queue::bounded(MESSAGES);
+        let reading = {
+            let (own, queue) = (self.clone(), queue.clone());
+            spawn(move || own.read(inbound, &queue))
+        };
         let home = home.map(|after| Instant::now() + after);
+        let ended = self.take_all(&queue, &mut outbound, home);
+        queue.close();
+        if let Received::Some(left) = queue.take_all(Some(Instant::now())) {
+            left.iter()
+                .for_each(|(m, ..)| self.plane.around().dropped(m));
+        }
+        over.ring();
+        drop((outbound, link));
+        let _ = reporting.join();
+        let read = reading.join().unwrap_or(Ok(()));
+        ended.and_then(|home| match home {
+            true => Ok(true),
+            false => read.map(|()| false),
+        })
+    }
+
+    /// Reads the stream to its end, or until its messages are not wanted any more.
+    fn read(&self, mut inbound: Inbound, queue: &Queue<Came>) -> Result<(), Status> {
+        let around = self.plane.around();
         let ended = loop {
-            if home.is_some_and(|at| Instant::now() >= at) {
-                break Ok(true);
-            }
-            match inbound.message_until::<DeltaDiscoveryResponse>(home) {
-                Err(e) if e.code == Code::DeadlineExceeded => {}
+            around.reads();
+            match inbound.message_until::<DeltaDiscoveryResponse>(Some(Instant::now() + SOON)) {
+                Err(e) if e.code == Code::DeadlineExceeded && !queue.is_closed() => {}
+                Err(e) if e.code == Code::DeadlineExceeded => break Ok(()),
                 Ok(Some(response)) => {
-                    let sent = self.take(&response);
-                    if let Some(e) = sent.iter().find_map(|r| outbound.send(r).err()) {
-                        break Err(e);
+                    let came = Instant::now();
+                    let may = around.came(&response);
+                    let kept = response.clone();
+                    if queue.put((response, came, may)).is_err() {
+                        around.dropped(&kept);
+                        break Ok(());
                     }
                 }
-                Ok(None) => break Ok(false),
+                Ok(None) => break Ok(()),
                 Err(e) => break Err(e),
             }
         };
-        over.ring();
-        let _ = reporting.join();
+        queue.close();
         ended
     }
 
+    /// Takes what was read, in its turn; tells whether it is time to go home.
+    fn take_all(
+        &self,
+        queue: &Queue<Came>,
+        outbound: &mut Outbound,
+        home: Option<Instant>,
+    ) -> Result<bool, Status> {
+        loop {
+            if home.is_some_and(|at| Instant::now() >= at) {
+                return Ok(true);
+            }
+            let soon = Instant::now() + SOON;
+            let came = match queue.take_all(Some(home.map_or(soon, |at| at.min(soon)))) {
+                Received::Some(came) => came,
+                Received::Nothing if self.is_over() => return Ok(false),
+                Received::Nothing => continue,
+                Received::Closed => return Ok(false),
+            };
+            let mut broken = None;
+            for (response, came, may) in came {
+                if broken.is_some() || self.is_over() {
+                    self.plane.around().dropped(&response);
+                    continue;
+                }
+                let wait = may.saturating_duration_since(Instant::now());
+                if !wait.is_zero() {
+                    sleep(wait);
+                }
+                let sent = self.take(&response, came);
+                broken = sent.iter().find_map(|r| outbound.send(r).err());
+            }
+            if let Some(status) = broken {
+                return Err(status);
+            }
+        }
+    }
+
     /// Takes a message whole or refuses it whole, and puts the table into use.
     fn take(
         &self,
         response: &DeltaDiscoveryResponse,
+        came: Instant,
     ) -> Vec<dahliapoint_xds::pb::discovery::DeltaDiscoveryRequest> {
         let mut holder = lock(&self.holder);
         let before = holder.refused;
         // A line can be carried out if it has an address; names alone are the controller's to know.
-        let requests = holder.apply(response, |server| !server.is_empty());
-        match holder.refused > before {
+        let requests = holder.apply(response, |server| self.plane.around().knows(server));
+        let is_refused = holder.refused > before;
+        match is_refused {
             true => {
                 self.refused.fetch_add(1, Ordering::SeqCst);
                 warn!(
@@ -147,6 +234,8 @@
                     .swap(held.as_ref(), &|s| holder.is_shut(s), lines);
             }
         }
+        drop(holder);
+        self.plane.around().took(response, came, is_refused);
         requests
     }
 
--- a/crates/standins/src/backend.rs
+++ b/crates/standins/src/backend.rs
@@ -73,6 +73,8 @@
     class: usize,
     work_ms: f64,
     knows: bool,
+    /// The obedient proxy that it came by.
+    proxy: Option<usize>,
 }
 
 enum Fate {
@@ -210,7 +212,10 @@
             bytes.drain(..length);
             let fate = match probe {
                 true => self.probed(),
-                false => self.serve(visit),
+                false => match self.came_by(visit) {
+                    Some(visit) => self.serve(visit),
+                    None => Fate::Never,
+                },
             };
             let (status, finish) = match fate {
                 Fate::Done(status, finish) => (status, finish),
@@ -223,6 +228,9 @@
                 }
             };
             self.world.wait_until(finish);
+            if visit.proxy.is_some() && !probe {
+                self.world.tried(self.index);
+            }
             if self.life.load(Ordering::SeqCst) != life || self.world.is_over() {
                 return;
             }
@@ -243,6 +251,31 @@
         }
     }
 
+    /// A visit came by an obedient proxy: rule 3 is looked at here, and whether the proxy could know of a
+    /// start. Nothing comes through a cut.
+    fn came_by(&self, mut visit: Visit) -> Option<Visit> {
+        let Some(proxy) = visit.proxy else {
+            return Some(visit);
+        };
+        let (world, now) = (&self.world, self.world.now_ms());
+        let heard = lock(&world.heard).get(proxy).copied().unwrap_or_default();
+        if world.is_cut(heard.zone, self.zone) {
+            return None;
+        }
+        let told = lock(&world.told)[self.index].clone();
+        if let Some(joined) = heard.joined {
+            let drained = (told.state != "ready" && !heard.deaf).then_some(told.since_ms);
+            let since = joined.max(heard.reads_since);
+            let name = format!("proxy-{proxy}");
+            world.ledger.sent(now, &name, since, &self.name, drained);
+        }
+        let start = told.started_ms.map(|_| told.since_ms);
+        let grace = world.ledger.figures.grace_ms;
+        visit.knows = start
+            .is_some_and(|at| heard.last_message > at + world.knows_after_ms || now > at + grace);
+        Some(visit)
+    }
+
     fn load(&self) -> (f64, f64) {
         let mut state = lock(&self.state);
         let now = self.world.now_ms();
@@ -347,6 +380,7 @@
             "x-try" => visit.try_number = text.parse().unwrap_or(0),
             "x-class" => visit.class = text.parse().unwrap_or(0),
             "x-work-ms" => visit.work_ms = text.parse().unwrap_or(0.0),
+            "x-proxy" => visit.proxy = text.parse().ok(),
             "x-knows" => visit.knows = text == "1",
             _ => {}
         }
--- a/crates/standins/src/day.rs
+++ b/crates/standins/src/day.rs
@@ -1,6 +1,7 @@
 //! The script of a day, as YAML.
 
 use dahliapoint_daemon::deployment::{self, Deployment, Repeat};
+use dahliapoint_proxy::picking::Way;
 use dahliapoint_yaml::{At, read};
 use std::path::{Path, PathBuf};
 
@@ -82,6 +83,9 @@
     pub queue: usize,
     pub proxies: usize,
     pub pace: f64,
+    /// By the obedient proxy, or by the scripted one.
+    pub obedient: bool,
+    pub way: Way,
     pub strikes: u32,
     pub shun_ms: f64,
     pub apply_us: f64,
@@ -122,6 +126,14 @@
     let proxies = at.field("proxies");
     let proxy_count = proxies.field("count").number(1.0..=10_000.0, None) as usize;
     let pace = proxies.field("pace").number(0.0..=10_000.0, None);
+    let kinds = [("obedient", true), ("scripted", false)];
+    let obedient = proxies.field("kind").choice(&kinds, Some(false));
+    let ways = [
+        ("rotate", Way::Rotate),
+        ("random", Way::Random),
+        ("two", Way::Two),
+    ];
+    let way = proxies.field("picks").choice(&ways, Some(Way::Random));
     let strikes = proxies.field("strikes").number(0.0..=1000.0, Some(5.0)) as u32;
     let shun_ms = proxies.field("shun").time(0.0..=600_000.0, Some(3_000.0));
     let apply_us = proxies.field("apply").time(0.0..=1000.0, Some(0.04)) * 1e3;
@@ -157,6 +169,8 @@
         queue,
         proxies: proxy_count,
         pace,
+        obedient,
+        way,
         strikes,
         shun_ms,
         apply_us,
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -3,6 +3,7 @@
 mod backend;
 mod day;
 mod hunt;
+mod obedient;
 mod play;
 mod proxy;
 mod relay;
@@ -10,7 +11,7 @@
 mod sabotage;
 mod world;
 
-use clap::{Parser, Subcommand};
+use clap::{Parser, Subcommand, ValueEnum};
 use std::ffi::OsString;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -24,6 +25,15 @@
     command: Command,
 }
 
+/// What carries a day's visits.
+#[derive(Clone, Copy, PartialEq, ValueEnum)]
+enum Kind {
+    /// The obedient proxy, by HTTP.
+    Obedient,
+    /// The stand-ins' own.
+    Scripted,
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Play a day; exit code 1 if a rule broke, 3 if it could not be played.
@@ -35,6 +45,9 @@
         /// A controller that breaks a rule on purpose.
         #[arg(long, value_enum)]
         wrong: Option<sabotage::Wrong>,
+        /// Other proxies than the day names.
+        #[arg(long, value_enum)]
+        proxies: Option<Kind>,
         /// Keep the day's folder (the controller's logs, its roster) here.
         #[arg(long)]
         keep: Option<PathBuf>,
@@ -112,8 +125,9 @@
             file,
             json,
             wrong,
+            proxies,
             keep,
-        } => match bad_day(&file, wrong, keep) {
+        } => match bad_day(&file, wrong, proxies, keep) {
             Ok(report) => {
                 let text = match json {
                     true => format!("{report:#}\n"),
@@ -136,16 +150,17 @@
 fn bad_day(
     file: &std::path::Path,
     wrong: Option<sabotage::Wrong>,
+    proxies: Option<Kind>,
     keep: Option<PathBuf>,
 ) -> Result<serde_json::Value, String> {
-    let day = day::load(file)?;
+    let mut day = day::load(file)?;
+    day.obedient = proxies.map_or(day.obedient, |kind| kind == Kind::Obedient);
     let own = std::env::temp_dir().join(format!("dahliapoint-day-{}", std::process::id()));
     let folder = keep.clone().unwrap_or(own);
     std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
     let arguments = match wrong {
         None => vec!["controller".to_string(), "run".to_string()],
         Some(wrong) => {
-            use clap::ValueEnum;
             let name = wrong.to_possible_value().map(|v| v.get_name().to_string());
             vec!["sabotaged".to_string(), name.unwrap_or_default()]
         }
--- a/crates/standins/src/play.rs
+++ b/crates/standins/src/play.rs
@@ -2,10 +2,11 @@
 
 use crate::backend::{Backend, Cold};
 use crate::day::{Day, Event, What};
-use crate::proxy::{Channel, Layer, Proxy};
+use crate::obedient::Obedient;
+use crate::proxy::{Channel, Layer, Player, Proxy, Trouble};
 use crate::relay::{Mode, Relay};
 use crate::rules::{Figures, Ledger};
-use crate::world::{Told, World, lock};
+use crate::world::{Heard, Told, World, lock};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
@@ -101,16 +102,8 @@
         }
     }
 
-    /// CPU time that it has used, in milliseconds, and the most memory, in MiB.
     fn used(&self) -> Option<(f64, f64)> {
-        let pid = self.child.as_ref()?.id();
-        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
-        let fields: Vec<&str> = stat.rsplit(") ").next()?.split(' ').collect();
-        let ticks = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
-        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
-        let peak = peak.trim().trim_end_matches(" kB").parse::<f64>().ok()?;
-        Some((ticks * 10.0, peak / 1024.0))
+        used_by(self.child.as_ref()?.id())
     }
 
     /// Tells it to end (SIGTERM by the shell's own `kill`), and waits; kills it if it does not.
@@ -134,6 +127,17 @@
     }
 }
 
+/// CPU time that a process has used, in milliseconds, and the most memory, in MiB.
+fn used_by(pid: u32) -> Option<(f64, f64)> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    let fields: Vec<&str> = stat.rsplit(") ").next()?.split(' ').collect();
+    let ticks = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
+    let peak = peak.trim().trim_end_matches(" kB").parse::<f64>().ok()?;
+    Some((ticks * 10.0, peak / 1024.0))
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
@@ -214,7 +218,7 @@
     day: &'a Day,
     world: Arc<World>,
     layer: Arc<Layer>,
-    proxies: Vec<Arc<Proxy>>,
+    proxies: Vec<Arc<dyn Player>>,
     process: &'a mut Process,
     roster: RosterFile,
     steps: Vec<(f64, Step)>,
@@ -310,7 +314,9 @@
         span_ms: terms.message_span_ms,
     };
     let ledger = Ledger::new(figures, day.classes.len());
-    let world = Arc::new(World::new(terms.zones.clone(), day.servers, ledger));
+    let knows_after_ms = day.deployment.roster_every_ms + MARGIN_MS;
+    let world = World::new(terms.zones.clone(), day.servers, ledger, knows_after_ms);
+    let world = Arc::new(world);
     let cold = Cold {
         share: terms.cold_share,
         warm_after_ms: terms.warm_after_ms,
@@ -356,6 +362,8 @@
         world: world.clone(),
         service: terms.service.clone(),
         classes: day.classes.clone(),
+        repeats: day.deployment.repeats.clone(),
+        way: day.way,
         by_address: by_address.collect(),
         backends,
         relays: relays.map_err(|e| format!("a relay cannot be started: {e}"))?,
@@ -367,14 +375,24 @@
         connect_ms: day.deployment.connect_ms,
         idle_ms: terms.idle_ms,
         message_lines: terms.message_lines,
-        knows_after_ms: day.deployment.roster_every_ms + MARGIN_MS,
+        knows_after_ms,
         seed: day.seed,
         visits: AtomicU64::new(0),
     });
-    let proxies: Vec<_> = (0..day.proxies)
-        .map(|i| Proxy::new(&layer, i, i % zones, day.pace))
+    let heard = |i: usize| Heard {
+        zone: i % zones,
+        ..Heard::default()
+    };
+    *lock(&world.heard) = (0..day.proxies).map(heard).collect();
+    let proxies: Vec<Arc<dyn Player>> = (0..day.proxies)
+        .map(|i| -> Arc<dyn Player> {
+            match day.obedient {
+                true => Obedient::new(&layer, i, i % zones, day.pace),
+                false => Proxy::new(&layer, i, i % zones, day.pace),
+            }
+        })
         .collect();
-    proxies.iter().for_each(Proxy::start);
+    proxies.iter().for_each(|p| p.clone().start());
     let begun = world.now_ms();
     let begin = |e: &Event| (begun + e.at_ms, Step::Begin(e.clone()));
     let mut playing = Playing {
@@ -414,6 +432,12 @@
     if day.watch_ms > 0.0 {
         report["estimates"] = lock(&playing.seen).report(&world);
     }
+    // What all stand-ins together have used: servers, proxies, clients, links.
+    report["standins"] = json!({
+        "proxies": if day.obedient { "obedient" } else { "scripted" },
+        "cpu_ms": used_by(std::process::id()).map(|u| u.0),
+        "peak_memory_mib": used_by(std::process::id()).map(|u| u.1),
+    });
     report["day"] = json!(day.name);
     report["size"] =
         json!({"servers": day.servers, "proxies": day.proxies, "seconds": day.lasts_ms / 1e3});
@@ -467,8 +491,7 @@
             t.state == "ready" && since(t.started_ms) && since(b.started_ms()) && b.is_up()
         });
         self.proxies.iter().for_each(|p| p.look(now, open));
-        let alive =
-            |p: &&Arc<Proxy>| !p.dead.load(Ordering::SeqCst) && !p.deaf.load(Ordering::SeqCst);
+        let alive = |p: &&Arc<dyn Player>| p.can_be_told();
         if let Some(at) = self.killed_ms
             && self
                 .proxies
@@ -507,7 +530,7 @@
         }
     }
 
-    fn proxies(&self, e: &Event) -> impl Iterator<Item = &Arc<Proxy>> {
+    fn proxies(&self, e: &Event) -> impl Iterator<Item = &Arc<dyn Player>> {
         e.whom.iter().map(|i| &self.proxies[*i])
     }
 
@@ -597,14 +620,14 @@
             What::StallZone => self.link(e, Mode::Stalled),
             What::Refuse => self
                 .proxies(e)
-                .for_each(|p| p.refuses.store(true, Ordering::SeqCst)),
-            What::Deaf => self
-                .proxies(e)
-                .for_each(|p| p.deaf.store(true, Ordering::SeqCst)),
+                .for_each(|p| p.trouble(Trouble::Refuses, true)),
+            What::Deaf => self.proxies(e).for_each(|p| p.trouble(Trouble::Deaf, true)),
             What::Flood => self
                 .proxies(e)
-                .for_each(|p| p.floods.store(true, Ordering::SeqCst)),
-            What::CrashProxy => self.proxies(e).for_each(|p| p.restart(e.size * 1e3)),
+                .for_each(|p| p.trouble(Trouble::Floods, true)),
+            What::CrashProxy => self
+                .proxies(e)
+                .for_each(|p| p.clone().restart(e.size * 1e3)),
             What::BreakStreams => {
                 self.killed_ms = Some(now);
                 for relay in &self.layer.relays {
@@ -663,13 +686,13 @@
             What::StallZone => self.link(e, Mode::Open),
             What::Refuse => self
                 .proxies(e)
-                .for_each(|p| p.refuses.store(false, Ordering::SeqCst)),
+                .for_each(|p| p.trouble(Trouble::Refuses, false)),
             What::Deaf => self
                 .proxies(e)
-                .for_each(|p| p.deaf.store(false, Ordering::SeqCst)),
+                .for_each(|p| p.trouble(Trouble::Deaf, false)),
             What::Flood => self
                 .proxies(e)
-                .for_each(|p| p.floods.store(false, Ordering::SeqCst)),
+                .for_each(|p| p.trouble(Trouble::Floods, false)),
             What::Pause | What::Restart | What::CrashProxy | What::BreakStreams => {}
         }
         Ok(())
@@ -738,6 +761,7 @@
         ("drain to applied", "drain_to_applied"),
         ("kill to all bound, ms", "kill_to_all_bound_ms"),
         ("controller", "controller"),
+        ("stand-ins", "standins"),
     ] {
         let _ = writeln!(out, "  {title}: {}", report[key]);
     }
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -3,9 +3,12 @@
 
 use crate::backend::Backend;
 use crate::relay::Relay;
+use crate::rules::Ledger;
 use crate::world::{World, lock};
+use dahliapoint_daemon::deployment::Repeat;
 use dahliapoint_fibers::{Queue, Received, TcpStream, dial, shut_at, sleep, spawn};
 use dahliapoint_grpc::{Inbound, Limits, Link, Outbound, Status};
+use dahliapoint_proxy::picking::Way;
 use dahliapoint_xds::Message as _;
 use dahliapoint_xds::names::LEDS;
 use dahliapoint_xds::pb::discovery::DeltaDiscoveryResponse;
@@ -32,11 +35,60 @@
     pub never_twice: bool,
 }
 
+/// What can be wrong with a proxy for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    Refuses,
+    Deaf,
+    Floods,
+}
+
+/// A proxy as the day sees it, scripted or obedient.
+pub trait Player: Send + Sync {
+    fn start(self: Arc<Self>);
+    /// Dies, and after a while comes back with nothing but a standing table.
+    fn restart(self: Arc<Self>, down_ms: f64);
+    /// Rule 1's look at it, from time to time.
+    fn look(&self, now: f64, warm_ready: bool);
+    /// Bound on a stream that began after that time.
+    fn is_bound_since(&self, after: f64) -> bool;
+    fn can_be_told(&self) -> bool;
+    fn trouble(&self, what: Trouble, on: bool);
+}
+
+/// Since when a joined proxy has had no line to pick.
+#[derive(Default)]
+pub struct Look(Option<f64>);
+
+impl Look {
+    pub fn see(&mut self, ledger: &Ledger, now: f64, proxy: &str, joined: bool, bare: bool) {
+        self.0 = bare.then(|| self.0.unwrap_or(now));
+        if joined && ledger.bare(now, proxy, self.0) {
+            self.0 = Some(now);
+        }
+    }
+}
+
+/// The class that a draw from 0 to 1 falls on.
+pub fn class_of(classes: &[ClassPlay], draw: f64) -> usize {
+    let all: f64 = classes.iter().map(|c| c.share).sum();
+    let mut left = draw * all;
+    for (i, class) in classes.iter().enumerate() {
+        left -= class.share;
+        if left < 0.0 {
+            return i;
+        }
+    }
+    classes.len() - 1
+}
+
 /// What all proxies of a day share.
 pub struct Layer {
     pub world: Arc<World>,
     pub service: String,
     pub classes: Vec<ClassPlay>,
+    pub repeats: Vec<Repeat>,
+    pub way: Way,
     pub backends: Vec<Arc<Backend>>,
     pub by_address: HashMap<String, usize>,
     /// The relays to the controller, by zone.
@@ -73,7 +125,7 @@
     }
 
     /// When a message of so many lines, written now, has left the channel.
-    fn leaves(&self, now: f64, lines: f64) -> f64 {
+    pub fn leaves(&self, now: f64, lines: f64) -> f64 {
         let pace = *lock(&self.lines_per_s);
         let mut free = lock(&self.free_ms);
         *free = free.max(now) + lines / pace * 1e3;
@@ -118,7 +170,7 @@
     standing: Mutex<Vec<usize>>,
     holder: Mutex<Holder>,
     joined: Mutex<Option<f64>>,
-    bare_since: Mutex<Option<f64>>,
+    bare_since: Mutex<Look>,
     last_message: Mutex<f64>,
     /// Since when it reads its stream (again): nobody can tell it anything before.
     reads_since: Mutex<f64>,
@@ -176,28 +228,6 @@
         StdRng::seed_from_u64(self.layer.seed ^ name)
     }
 
-    /// Starts afresh: draws its standing table, then lives: a stream, reports, visits.
-    pub fn start(self: &Arc<Self>) {
-        self.draw_standing();
-        for life in [Proxy::hold_tables, Proxy::bring_visits] {
-            let proxy = self.clone();
-            spawn(move || life(&proxy));
-        }
-    }
-
-    /// Dies, and after a while comes back with nothing but a standing table.
-    pub fn restart(self: &Arc<Self>, down_ms: f64) {
-        self.dead.store(true, Ordering::SeqCst);
-        let proxy = self.clone();
-        spawn(move || {
-            sleep(Duration::from_secs_f64(down_ms / 1e3));
-            let zone = &proxy.layer.world.zones[proxy.zone];
-            *lock(&proxy.holder) = Holder::new(&proxy.layer.service, &proxy.name, zone, proxy.pace);
-            proxy.draw_standing();
-            proxy.dead.store(false, Ordering::SeqCst);
-        });
-    }
-
     fn draw_standing(&self) {
         let told = lock(&self.layer.world.told).clone();
         let ready = |s: &&Arc<Backend>| told[s.index].state == "ready";
@@ -281,28 +311,6 @@
         }
     }
 
-    /// Bound on a stream that began after that time.
-    pub fn is_bound_since(&self, after: f64) -> bool {
-        let joined = (*lock(&self.joined)).filter(|at| *at > after);
-        joined.is_some_and(|at| self.holds().is_some() && *lock(&self.last_lines) >= at)
-    }
-
-    /// Rule 1's look at it, from time to time.
-    pub fn look(&self, now: f64, warm_ready: bool) {
-        let table = lock(&self.table).clone();
-        let joined = lock(&self.joined).is_some() && !self.dead.load(Ordering::SeqCst);
-        let bare = joined && warm_ready && table.picks.is_empty();
-        let mut since = lock(&self.bare_since);
-        *since = match (bare, *since) {
-            (false, _) => None,
-            (true, None) => Some(now),
-            (true, at) => at,
-        };
-        if joined && self.layer.world.ledger.bare(now, &self.name, *since) {
-            *since = Some(now);
-        }
-    }
-
     /// Given a table on some stream, and in how many lines.
     fn holds(&self) -> Option<usize> {
         let table = lock(&self.table).clone();
@@ -564,25 +572,12 @@
         }
     }
 
-    fn class_of(&self, draw: f64) -> usize {
-        let classes = &self.layer.classes;
-        let all: f64 = classes.iter().map(|c| c.share).sum();
-        let mut left = draw * all;
-        for (i, class) in classes.iter().enumerate() {
-            left -= class.share;
-            if left < 0.0 {
-                return i;
-            }
-        }
-        classes.len() - 1
-    }
-
     /// One visit, to its end.
     fn visit(&self, draw: f64, luck: u64) {
         let layer = &self.layer;
         let world = &layer.world;
         let mut rng = StdRng::seed_from_u64(luck);
-        let class = self.class_of(draw);
+        let class = class_of(&layer.classes, draw);
         let play = &layer.classes[class];
         let id = layer.visits.fetch_add(1, Ordering::SeqCst) + 1;
         let begun = world.now_ms();
@@ -834,6 +829,54 @@
     }
 }
 
+impl Player for Proxy {
+    /// Starts afresh: draws its standing table, then lives: a stream, reports, visits.
+    fn start(self: Arc<Self>) {
+        self.draw_standing();
+        for life in [Proxy::hold_tables, Proxy::bring_visits] {
+            let proxy = self.clone();
+            spawn(move || life(&proxy));
+        }
+    }
+
+    fn restart(self: Arc<Self>, down_ms: f64) {
+        self.dead.store(true, Ordering::SeqCst);
+        spawn(move || {
+            sleep(Duration::from_secs_f64(down_ms / 1e3));
+            let zone = &self.layer.world.zones[self.zone];
+            *lock(&self.holder) = Holder::new(&self.layer.service, &self.name, zone, self.pace);
+            self.draw_standing();
+            self.dead.store(false, Ordering::SeqCst);
+        });
+    }
+
+    fn look(&self, now: f64, warm_ready: bool) {
+        let table = lock(&self.table).clone();
+        let joined = lock(&self.joined).is_some() && !self.dead.load(Ordering::SeqCst);
+        let bare = joined && warm_ready && table.picks.is_empty();
+        let ledger = &self.layer.world.ledger;
+        lock(&self.bare_since).see(ledger, now, &self.name, joined, bare);
+    }
+
+    fn is_bound_since(&self, after: f64) -> bool {
+        let joined = (*lock(&self.joined)).filter(|at| *at > after);
+        joined.is_some_and(|at| self.holds().is_some() && *lock(&self.last_lines) >= at)
+    }
+
+    fn can_be_told(&self) -> bool {
+        !self.dead.load(Ordering::SeqCst) && !self.deaf.load(Ordering::SeqCst)
+    }
+
+    fn trouble(&self, what: Trouble, on: bool) {
+        let flag = match what {
+            Trouble::Refuses => &self.refuses,
+            Trouble::Deaf => &self.deaf,
+            Trouble::Floods => &self.floods,
+        };
+        flag.store(on, Ordering::SeqCst);
+    }
+}
+
 /// The other side has closed a connection that was kept: seen without waiting.
 fn is_closed(socket: &TcpStream) -> bool {
     let peeked = socket.inner().peek(&mut [0; 1]);
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -19,6 +19,18 @@
     pub started_ms: Option<f64>,
 }
 
+/// What an obedient proxy has heard from its controller, as servers see its visits.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Heard {
+    /// Since when it is joined.
+    pub joined: Option<f64>,
+    /// It takes nothing out of its stream; since when it did (again).
+    pub deaf: bool,
+    pub reads_since: f64,
+    pub last_message: f64,
+    pub zone: usize,
+}
+
 pub struct World {
     begun: Instant,
     pub zones: Vec<String>,
@@ -29,6 +41,10 @@
     pub stale: Mutex<HashMap<usize, f64>>,
     /// By server.
     pub told: Mutex<Vec<Told>>,
+    /// By obedient proxy.
+    pub heard: Mutex<Vec<Heard>>,
+    /// How late an order that was sent when a start was told can still be without knowing it.
+    pub knows_after_ms: f64,
     cuts: Mutex<BTreeSet<usize>>,
     over: AtomicBool,
     /// Lives of the controller so far: its serials begin anew with each.
@@ -36,7 +52,7 @@
 }
 
 impl World {
-    pub fn new(zones: Vec<String>, servers: usize, ledger: Ledger) -> World {
+    pub fn new(zones: Vec<String>, servers: usize, ledger: Ledger, knows_after_ms: f64) -> World {
         let told = Told {
             state: "ready",
             since_ms: 0.0,
@@ -49,6 +65,8 @@
             tried: Mutex::default(),
             stale: Mutex::default(),
             told: Mutex::new(vec![told; servers]),
+            heard: Mutex::default(),
+            knows_after_ms,
             cuts: Mutex::default(),
             over: AtomicBool::new(false),
             era: AtomicU32::new(0),
--- a/crates/standins/tests/days.rs
+++ b/crates/standins/tests/days.rs
@@ -13,11 +13,18 @@
 
 /// Plays a day; its exit code and its report.
 fn play(name: &str, wrong: Option<&str>) -> (i32, Value) {
+    play_with(name, wrong, None)
+}
+
+fn play_with(name: &str, wrong: Option<&str>, proxies: Option<&str>) -> (i32, Value) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_dahliapoint-standins"));
     command.arg("bad-day").arg(day(name)).arg("--json");
     if let Some(wrong) = wrong {
         command.args(["--wrong", wrong]);
     }
+    if let Some(proxies) = proxies {
+        command.args(["--proxies", proxies]);
+    }
     let out = command.output().unwrap();
     let code = out.status.code().unwrap_or(-1);
     let said = String::from_utf8_lossy(&out.stderr).to_string();
@@ -130,6 +137,37 @@
     }
 }
 
+/// An order that would run an effect twice is not obeyed by the obedient proxy; orders that its rules do
+/// not concern are, and the checkers at the servers' sockets see them.
+#[test]
+fn the_obedient_proxy_keeps_effects_from_running_twice_whatever_it_is_told() {
+    let cases = [
+        ("retries-all", 0),
+        ("ignores-drains", 1),
+        ("floods-the-cold", 1),
+    ];
+    let playing: Vec<_> = cases
+        .into_iter()
+        .map(|(wrong, wanted)| {
+            std::thread::spawn(move || {
+                (
+                    wrong,
+                    wanted,
+                    play_with("sabotage", Some(wrong), Some("obedient")),
+                )
+            })
+        })
+        .collect();
+    for thread in playing {
+        let (wrong, wanted, (code, report)) = thread.join().unwrap();
+        assert_eq!(code, wanted, "{wrong}: {report:#}");
+        assert!(
+            count(&report, 1, "checked") > 0,
+            "{wrong}: no effect was seen"
+        );
+    }
+}
+
 #[test]
 fn a_day_that_cannot_be_played_is_no_day_that_was_kept() {
     let out = Command::new(env!("CARGO_BIN_EXE_dahliapoint-standins"))
