A second front: tables as files, swapped atomically, and the way back by a spool

Proxies that speak no gRPC read files. crates/files publishes a directory a proxy (own JSON, Apache BalancerMember, mod_jk workers, HAProxy server-state columns), whole or patched by a cost rule, sealed by a manifest, put in force by one link; beats, answers and reports come back through a spool with a quarantine. Which beating proxies are there is decided in control, beside streams (presence.rs).

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -2,6 +2,7 @@
 
 use crate::accounts::{Accounts, Outstanding, Sent};
 use crate::membership::{self, Deed, Member, Patience};
+use crate::presence::{self, Presence};
 use crate::reports::{ClassView, EstimateView, Reports, fault_of};
 use crate::servers::Servers;
 use crate::{AdminState, Entry, FurtherTry, Input, Line, LineState, Message, Output, Report};
@@ -34,6 +35,7 @@
 pub struct Controller {
     terms: Terms,
     patience: Patience,
+    presence: Presence,
     planner: Planner,
     servers: Servers,
     /// Servers whose address changed under a line that stands.
@@ -150,6 +152,7 @@
         Controller {
             planner: Planner::begun(now, seed, &opening(&terms)),
             patience: Patience::of(&terms),
+            presence: Presence::new(terms.beat_ms),
             servers: Servers::default(),
             moved: Vec::new(),
             proxies: BTreeMap::new(),
@@ -182,7 +185,7 @@
     pub fn wake_at(&self) -> f64 {
         let members = self.proxies.values();
         let owed = members.filter_map(|p| p.member.alarm(&self.patience));
-        owed.fold(self.planner_alarm, f64::min)
+        owed.fold(self.planner_alarm.min(self.presence.wake_at()), f64::min)
     }
 
     /// All that came at one moment, and what is to be done about it.
@@ -192,6 +195,7 @@
         for input in inputs {
             self.note(now, input, &mut out);
         }
+        self.tend_presence(now, &mut out);
         if self.planner_alarm <= now {
             self.planner_alarm = f64::INFINITY;
         }
@@ -221,12 +225,27 @@
                 proxy,
                 zone,
                 pace,
-            } => self.joined(session, &proxy, &zone, pace, out),
-            Input::Left(session) => {
-                if let Some(p) = self.by_session.remove(&session) {
-                    self.left(p);
+            } => {
+                self.joined(session, &proxy, &zone, pace, out);
+                self.presence.streamed(now, &proxy, true);
+            }
+            Input::Left(session) => self.leaves(now, session),
+            Input::Beat {
+                session,
+                proxy,
+                zone,
+                pace,
+            } => {
+                let held = self.by_name.get(proxy.as_str());
+                let held = held.map(|i| self.proxies[i].session);
+                let on_stream = held.is_some_and(|s| !self.presence.has(s));
+                let p = &mut self.presence;
+                let over = p.beat(now, session, &proxy, &zone, pace, on_stream);
+                if let Some(deed) = over {
+                    self.present(deed, out);
                 }
             }
+            Input::Goodbye(session) => self.presence.says_goodbye(session),
             Input::Applied(session, serial) => self.applied(now, session, serial),
             Input::Refused(session, serial, why) => self.refused(now, session, serial, why, out),
             Input::Reported(proxy, report) => self.reported(now, &proxy, &report),
@@ -326,6 +345,49 @@
         );
     }
 
+    fn leaves(&mut self, now: f64, session: Session) {
+        if let Some(p) = self.by_session.remove(&session) {
+            let name = self.proxies.get(&p).map(|p| p.name.clone());
+            self.left(p);
+            if let Some(name) = name.filter(|_| !self.presence.has(session)) {
+                self.presence.streamed(now, &name, false);
+            }
+        }
+    }
+
+    /// Goes through the rules of presence until none fires.
+    fn tend_presence(&mut self, now: f64, out: &mut Vec<Output>) {
+        while let Some(deed) = self.presence.next(now) {
+            self.present(deed, out);
+        }
+    }
+
+    fn present(&mut self, deed: presence::Deed, out: &mut Vec<Output>) {
+        match deed {
+            presence::Deed::Join {
+                session,
+                proxy,
+                zone,
+                pace,
+            } => self.joined(session, &proxy, &zone, pace, out),
+            presence::Deed::Leave(session, why) => {
+                // Its stream may have taken the name over already.
+                if let Some(index) = self.by_session.get(&session).copied() {
+                    let note = format!("proxy {}: leaves, {why}", self.proxies[&index].name);
+                    out.push(Output::Note(note));
+                    self.by_session.remove(&session);
+                    self.left(index);
+                    self.close(session, why.into(), out);
+                }
+            }
+            presence::Deed::Doubled(name) => {
+                let why = "has a stream and beats beside it: two processes have one name";
+                out.push(Output::Note(format!("proxy {name}: {why}")));
+            }
+            presence::Deed::Forget(_) => {}
+        }
+    }
+
     fn close(&mut self, session: Session, why: String, out: &mut Vec<Output>) {
         self.accounts.closed += 1;
         out.push(Output::Close(session, why));
@@ -686,6 +748,7 @@
                         let name = proxy.name.clone();
                         self.by_session.remove(&session);
                         self.left(i);
+                        self.presence.closed(now, session);
                         out.push(Output::Note(format!("proxy {name}: answers nothing")));
                         self.close(session, "no answer to what was sent".into(), out);
                     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,12 +10,15 @@
 mod accounts;
 mod controller;
 pub mod membership;
+mod owner;
+pub mod presence;
 pub mod record;
 mod reports;
 mod servers;
 
 pub use accounts::Accounts;
 pub use controller::{Controller, Overview, ProxyView, ServerView};
+pub use owner::Owner;
 pub use reports::{ClassView, EstimateView, fault_of};
 
 use serde::{Deserialize, Serialize};
@@ -60,6 +63,8 @@
     /// How proxies try again where no order says otherwise.
     pub usual_tries: FurtherTry,
     pub may_probe: bool,
+    /// How often a proxy without a stream is to give a sign of life.
+    pub beat_ms: f64,
 }
 
 /// A class of visits.
@@ -151,6 +156,15 @@
         fine: bool,
         took_ms: f64,
     },
+    /// A sign of life of a proxy that has no stream; a session of it is one life.
+    Beat {
+        session: Session,
+        proxy: String,
+        zone: String,
+        pace: Option<f64>,
+    },
+    /// A proxy without a stream leaves by its own word.
+    Goodbye(Session),
 }
 
 /// How a line stands in a table.
--- a/crates/control/tests/controller.rs
+++ b/crates/control/tests/controller.rs
@@ -40,6 +40,7 @@
         dropped_may_stay: false,
         usual_tries: FurtherTry::OnProof,
         may_probe: true,
+        beat_ms: 1_000.0,
     }
 }
 
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -5,6 +5,7 @@
 use crate::{roster, sample, status};
 use clap::{Parser, Subcommand};
 use dahliapoint_control::record::{End, bytes_of, replay};
+use dahliapoint_files::forms::Form;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::ffi::OsString;
@@ -48,6 +49,16 @@
         #[arg(long)]
         json: bool,
     },
+    /// Print the present table of a running controller.
+    Export {
+        #[arg(long, default_value = "127.0.0.1:18000")]
+        at: SocketAddr,
+        /// The part of the shared table.
+        #[arg(long, default_value_t = 0)]
+        part: usize,
+        #[arg(long, value_enum, default_value = "json")]
+        form: Written,
+    },
     /// Play a record again: what was ordered, and the sum of it.
     Replay {
         file: PathBuf,
@@ -57,6 +68,18 @@
     },
 }
 
+/// A form that a table is printed in.
+#[derive(Clone, Copy, clap::ValueEnum)]
+enum Written {
+    Json,
+    /// Apache `BalancerMember` lines.
+    Balancer,
+    /// mod_jk `workers.properties`.
+    Workers,
+    /// HAProxy's server-state columns.
+    State,
+}
+
 const WRONG: u8 = 2;
 
 /// Runs a command line, the program's name first; tells the exit code.
@@ -70,6 +93,7 @@
         } => run(file.as_deref(), record, listen, address_file.as_deref()),
         Command::Check { file } => check(&file),
         Command::Status { at, json } => ask(at, json),
+        Command::Export { at, part, form } => export(at, part, form),
         Command::Replay { file, quiet } => again(&file, quiet),
     };
     match done {
@@ -169,6 +193,22 @@
     Ok(())
 }
 
+fn export(at: SocketAddr, part: usize, form: Written) -> Done {
+    let (overview, _) = status::fetch(at).map_err(|e| (1, format!("{at}: {e}")))?;
+    let table = status::table(&overview, part);
+    if table.lines.is_empty() {
+        return Err((1, format!("{at}: part {part} has no lines")));
+    }
+    let text = match form {
+        Written::Json => serde_json::to_string_pretty(&table).map_err(wrong)? + "\n",
+        Written::Balancer => Form::Balancer.write(&table),
+        Written::Workers => Form::Workers.write(&table),
+        Written::State => Form::State.write(&table),
+    };
+    let _ = std::io::stdout().write_all(text.as_bytes());
+    Ok(())
+}
+
 fn again(file: &Path, quiet: bool) -> Done {
     let name = file.display().to_string();
     let opened = File::open(file).map_err(|e| wrong(format!("{name}: {e}")))?;
--- a/crates/daemon/src/deployment.rs
+++ b/crates/daemon/src/deployment.rs
@@ -2,6 +2,8 @@
 //! anything starts. docs/operators/running.md lists the fields.
 
 use dahliapoint_control::{ClassTerms, FurtherTry, Terms};
+use dahliapoint_files::forms::Form;
+use dahliapoint_files::reach::{Promise, Reach};
 use dahliapoint_xds::{RESPONSES_BY_JOINING, RESPONSES_BY_MESSAGE};
 use dahliapoint_yaml::{At, Faults, read};
 use std::collections::BTreeSet;
@@ -45,6 +47,21 @@
     pub seed: Option<u64>,
     /// A proxy's connection is given up after this long without an answer to a ping.
     pub stream_patience_ms: f64,
+    /// The front of files, if there is one.
+    pub files: Option<Files>,
+}
+
+/// The front of files, as a deployment tells it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Files {
+    pub dir: PathBuf,
+    /// Forms that are written beside the table of our own.
+    pub forms: Vec<Form>,
+    pub reach: Reach,
+    pub beat_ms: f64,
+    pub valid_ms: f64,
+    /// The keys, one or two, that tables and reports are sealed with.
+    pub keys: Option<PathBuf>,
 }
 
 /// Reads a deployment; paths in it are taken from the folder of the file.
@@ -148,6 +165,11 @@
     let address = listen.field("xds").parsed(wanted, None, |t| t.parse().ok());
     listen.close();
 
+    let files = at.field("files");
+    let files = files
+        .is_there()
+        .then(|| self::files(&files, folder, grace_ms));
+
     let log = at.field("log");
     let forms = [("text", LogForm::Text), ("json", LogForm::Json)];
     let log_form = log.field("form").choice(&forms, Some(LogForm::Text));
@@ -187,6 +209,7 @@
             dropped_may_stay,
             usual_tries,
             may_probe,
+            beat_ms: files.as_ref().map_or(0.0, |f| f.beat_ms),
         },
         repeats,
         hard_limits_ms,
@@ -200,9 +223,47 @@
         log_level,
         seed,
         stream_patience_ms: patience,
+        files,
     }
 }
 
+/// The front of files.
+fn files(at: &At, folder: &Path, grace_ms: f64) -> Files {
+    let forms = at.field("forms");
+    let mut listed = Vec::new();
+    for place in forms.list() {
+        let names = Form::ALL.map(|f| (f.name(), f));
+        let form = place.choice(&names, None);
+        if listed.contains(&form) {
+            place.wrong("each form once is wanted");
+        }
+        listed.push(form);
+    }
+    let every = at.field("every");
+    let every_ms = every.time(10.0..=600_000.0, Some(200.0));
+    let read = at.field("read_every");
+    let reach = Reach {
+        every_ms,
+        read_every_ms: read.time(10.0..=600_000.0, Some(500.0)),
+        grace_ms,
+    };
+    let keys = at.field("keys");
+    let keys = keys.is_there().then(|| folder.join(keys.text(None)));
+    let files = Files {
+        dir: folder.join(at.field("dir").text(None)),
+        forms: listed,
+        reach,
+        beat_ms: at.field("beat").time(50.0..=600_000.0, Some(1_000.0)),
+        valid_ms: at.field("valid").time(1_000.0..=8.64e8, Some(600_000.0)),
+        keys,
+    };
+    if let Promise::Broken(why) = reach.promise() {
+        read.wrong(why);
+    }
+    at.close();
+    files
+}
+
 /// Names, at least one, each once.
 fn names(at: &At, what: &str) -> Vec<String> {
     let mut seen = BTreeSet::new();
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -100,8 +100,12 @@
     every_ms: Arc<AtomicU64>,
     roster_fault: Arc<Mutex<Option<String>>>,
     figures: Arc<Mutex<Figures>>,
+    views: Arc<Mutex<Vec<(&'static str, View)>>>,
 }
 
+/// A part's own words for an overview.
+pub type View = Box<dyn Fn() -> Json + Send>;
+
 /// What the owner has used so far, for measurements.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Figures {
@@ -142,6 +146,7 @@
             every_ms: Arc::new(AtomicU64::new(every_ms.to_bits())),
             roster_fault: Arc::default(),
             figures: Arc::default(),
+            views: Arc::default(),
         }
     }
 
@@ -385,11 +390,19 @@
             "longest_round_ms": figures.longest_round_ms,
             "put_off": figures.put_off,
         });
+        for (name, part) in lock(&self.views).iter() {
+            view[*name] = part();
+        }
         *lock(&asked.answer) = Some(view);
         asked.bell.ring();
         false
     }
 
+    /// A part whose words belong into overviews.
+    pub fn shows(&self, name: &'static str, view: View) {
+        lock(&self.views).push((name, view));
+    }
+
     /// What is wrong with the roster's file, if anything is.
     pub fn roster_fault(&self, fault: Option<String>) {
         *lock(&self.roster_fault) = fault;
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -4,9 +4,11 @@
 use crate::engine::{Clock, Engine};
 use crate::probe::Prober;
 use crate::roster::{Look, Watch};
-use dahliapoint_control::{Entry, Input, Output};
+use dahliapoint_control::{Entry, Input, Output, Owner};
+use dahliapoint_files::front::{self as files, Place};
+use dahliapoint_files::reach::Promise;
 use dahliapoint_grpc::{Limits, Server};
-use dahliapoint_xds::{Front, Owner, Shape};
+use dahliapoint_xds::{Front, Shape};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -15,6 +17,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tracing::{error, info, warn};
 
+/// Sessions of the front of files are numbered from here, those of streams below.
+const FILES: u64 = 1 << 40;
+
 /// Where the servers come from.
 pub enum Source {
     /// The deployment's roster file, watched.
@@ -31,6 +36,7 @@
     owner: JoinHandle<()>,
     ending: Arc<AtomicBool>,
     watcher: Option<JoinHandle<()>>,
+    files: Option<(Arc<files::Front>, JoinHandle<()>)>,
 }
 
 impl Daemon {
@@ -70,15 +76,40 @@
         };
         let server = Server::start(deployment.listen, limits, front.clone())
             .map_err(|e| format!("cannot listen on {}: {e}", deployment.listen))?;
+        let files = match &deployment.files {
+            None => None,
+            Some(f) => {
+                if let Promise::Narrow(why) = f.reach.promise() {
+                    warn!("files: {why}");
+                }
+                let keys = f.keys.as_deref().map(files::keys).transpose()?;
+                let place = Place {
+                    dir: f.dir.clone(),
+                    forms: f.forms.clone(),
+                    keys: keys.unwrap_or_default(),
+                    every_ms: f.reach.every_ms,
+                    valid_ms: f.valid_ms,
+                };
+                let started = files::Front::start(place, shared.clone(), FILES, &terms);
+                let started = started.map_err(|e| format!("{}: {e}", f.dir.display()))?;
+                let shown = started.0.clone();
+                engine.shows("files", Box::new(move || shown.view()));
+                Some(started)
+            }
+        };
         let prober = Prober::new(&deployment.probe_path, deployment.probe_within_ms, shared);
         let hand = {
             let front = front.clone();
+            let filed = files.as_ref().map(|(front, _)| front.clone());
             Box::new(move |output| match output {
                 Output::Probe { server, address } => {
                     prober.send(server, &address);
                     None
                 }
-                other => front.carry_out(other),
+                other => front.carry_out(other).and_then(|rest| match &filed {
+                    Some(filed) => filed.carry_out(rest),
+                    None => Some(rest),
+                }),
             })
         };
         let servers = entries.len();
@@ -97,6 +128,7 @@
             owner,
             ending,
             watcher: watcher.flatten(),
+            files,
         })
     }
 
@@ -117,6 +149,10 @@
         let all = self.server.end(Instant::now() + within);
         self.engine.close();
         let _ = self.owner.join();
+        if let Some((front, thread)) = self.files {
+            front.end();
+            let _ = thread.join();
+        }
         if let Some(watcher) = self.watcher {
             let _ = watcher.join();
         }
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -1,5 +1,6 @@
 //! `dahliapoint status`: asks a controller by CSDS, tells it as a table or as JSON.
 
+use dahliapoint_files::forms::{FORM, Table, TableLine};
 use dahliapoint_grpc::{Limits, Link, Status};
 use dahliapoint_xds::pb::status::{ClientStatusRequest, ClientStatusResponse};
 use dahliapoint_xds::{ResourceState, StatusRow, read_status};
@@ -31,6 +32,29 @@
     json!({"controller": overview, "resources": rows})
 }
 
+/// A part of the shared table, as it stands.
+pub fn table(overview: &Value, part: usize) -> Table {
+    let text = |v: &Value| v.as_str().unwrap_or_default().to_string();
+    let servers = overview["servers"].as_array().into_iter().flatten();
+    let ours = servers.filter(|s| s["part"] == json!(part));
+    let lines = ours.filter_map(|s| {
+        let line = TableLine {
+            server: text(&s["name"]),
+            address: text(&s["address"]),
+            weight: s["weight"].as_f64().filter(|w| *w > 0.0)?,
+            open: s["shut"] != json!(true),
+        };
+        Some((line.server.clone(), line))
+    });
+    Table {
+        form: FORM,
+        service: text(&overview["service"]),
+        bound: true,
+        lines: lines.collect(),
+        ..Table::default()
+    }
+}
+
 /// The main things, for a person.
 pub fn as_table(overview: &Value, rows: &[StatusRow]) -> String {
     let mut out = String::new();
@@ -110,5 +134,8 @@
     let _ = writeln!(out, "channel: {}", overview["accounts"]);
     let _ = writeln!(out, "decisions: {}", overview["deciding"]);
     let _ = writeln!(out, "intake: {}", overview["intake"]);
+    if overview["files"].is_object() {
+        let _ = writeln!(out, "files: {}", overview["files"]);
+    }
     out
 }
--- a/crates/proxy/src/around.rs
+++ b/crates/proxy/src/around.rs
@@ -2,11 +2,22 @@
 //! put cuts and a slow channel in between, and note what came out of the sockets.
 
 use dahliapoint_fibers::{TcpStream, dial};
-use dahliapoint_xds::pb::discovery::DeltaDiscoveryResponse;
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+/// A message that came, by a stream or as a file.
+#[derive(Clone, Copy, Debug)]
+pub struct Crossed<'a> {
+    /// The controller's own mark of it.
+    pub serial: &'a str,
+    /// Lines that it changes, and whether it is about lines at all.
+    pub lines: usize,
+    pub carries_lines: bool,
+    /// Its size on the wire; 0 if it was none.
+    pub bytes: u64,
+}
+
 /// Called by the proxy at the moments that are named here; all that is called may park its coroutine.
 pub trait Around: Send + Sync {
     /// Connects to a server.
@@ -29,15 +40,15 @@
     fn reads(&self) {}
 
     /// A message came out of its socket; when it may be taken.
-    fn came(&self, _message: &DeltaDiscoveryResponse) -> Instant {
+    fn came(&self, _message: &Crossed<'_>) -> Instant {
         Instant::now()
     }
 
     /// A message was taken, or refused; what it says is in force (or the old table is).
-    fn took(&self, _message: &DeltaDiscoveryResponse, _came: Instant, _is_refused: bool) {}
+    fn took(&self, _message: &Crossed<'_>, _came: Instant, _is_refused: bool) {}
 
     /// A message that came will not be taken: its stream ended first.
-    fn dropped(&self, _message: &DeltaDiscoveryResponse) {}
+    fn dropped(&self, _message: &Crossed<'_>) {}
 }
 
 /// Plain sockets, nobody looking on.
--- a/crates/proxy/src/described.rs
+++ b/crates/proxy/src/described.rs
@@ -21,7 +21,9 @@
     pub service: String,
     pub zone: String,
     pub pace: f64,
+    /// Empty where it is steered by files.
     pub controllers: Vec<SocketAddr>,
+    pub files: Option<Spooled>,
     pub listen: SocketAddr,
     pub roster: PathBuf,
     pub classes: Vec<Class>,
@@ -45,6 +47,15 @@
     pub log_level: String,
 }
 
+/// Where tables are read as files, and said back.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Spooled {
+    pub dir: PathBuf,
+    pub keys: Option<PathBuf>,
+    pub every_ms: f64,
+    pub beat_ms: f64,
+}
+
 /// Reads the settings; paths are taken from the folder of the file.
 ///
 /// # Errors
@@ -66,8 +77,22 @@
 fn described(at: &At, folder: &Path) -> Described {
     let controllers = at.field("controllers");
     let addresses: Vec<SocketAddr> = controllers.list().iter().map(address).collect();
-    if addresses.is_empty() {
-        controllers.wrong("at least one controller is wanted");
+    let files = at.field("files");
+    let files = files.is_there().then(|| {
+        let keys = files.field("keys");
+        let spooled = Spooled {
+            dir: folder.join(files.field("dir").text(None)),
+            keys: keys.is_there().then(|| folder.join(keys.text(None))),
+            every_ms: files.field("every").time(10.0..=600_000.0, Some(500.0)),
+            beat_ms: files.field("beat").time(50.0..=600_000.0, Some(1_000.0)),
+        };
+        files.close();
+        spooled
+    });
+    match (addresses.is_empty(), &files) {
+        (true, None) => controllers.wrong("at least one controller is wanted, or files"),
+        (false, Some(_)) => controllers.wrong("controllers or files are wanted, not both"),
+        _ => {}
     }
     let list = at.field("classes");
     let classes: Vec<Class> = list
@@ -116,6 +141,7 @@
         zone: at.field("zone").text(None),
         pace: at.field("pace").number(0.0..=1e6, Some(0.0)),
         controllers: addresses,
+        files,
         listen: address(&at.field("listen")),
         roster: folder.join(at.field("roster").text(None)),
         classes,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,12 +6,13 @@
 //! - [`trying`]: whether a visit that failed is tried again, and whether it is let in at all.
 //!
 //! Around them: [`around`] is the way to servers and the place to look on from, [`http`] reads and writes messages, [`plane`] carries visits, [`steering`] holds tables by
-//! xDS and reports, [`described`] reads the settings.
+//! xDS and reports, [`filed`] does so by files, [`described`] reads the settings.
 //!
 //! Servers are small indices; times in decisions are milliseconds on one clock that never goes back.
 
 pub mod around;
 pub mod described;
+pub mod filed;
 pub mod http;
 pub mod picking;
 pub mod plane;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use dahliapoint_proxy::described;
+use dahliapoint_proxy::filed::{Filed, Over};
 use dahliapoint_proxy::plane::Plane;
 use dahliapoint_proxy::steering::Steering;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -9,6 +10,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 #[derive(Parser)]
@@ -18,6 +21,12 @@
     command: Command,
 }
 
+/// How tables come.
+enum Steered {
+    Stream(Arc<Steering>),
+    Files((Arc<Filed>, JoinHandle<()>)),
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Run a proxy.
@@ -86,7 +95,10 @@
     let address = plane
         .serve()
         .map_err(|e| format!("{}: {e}", plane.described.listen))?;
-    let steering = Steering::start(plane.clone());
+    let steered = match plane.described.files.clone() {
+        Some(files) => Steered::Files(Filed::start(plane.clone(), files)?),
+        None => Steered::Stream(Steering::start(plane.clone())),
+    };
     tracing::info!(%address, standing = plane.lines(), "serving");
     if let Some(path) = address_file {
         let aside = path.with_extension("aside");
@@ -96,7 +108,13 @@
     }
     if signals.forever().next().is_some() {
         tracing::info!("ending in order");
-        steering.end();
+        match steered {
+            Steered::Stream(steering) => steering.end(),
+            Steered::Files((filed, thread)) => {
+                filed.end(Over::Goodbye);
+                let _ = thread.join();
+            }
+        }
         let hard = plane.described.classes.iter().map(|c| c.hard_limit_ms);
         let longest = Duration::from_secs_f64(hard.fold(0.0, f64::max) / 1e3);
         plane.end(address, Instant::now() + longest);
--- a/crates/proxy/src/steering.rs
+++ b/crates/proxy/src/steering.rs
@@ -2,9 +2,11 @@
 //! happens when the controller is lost (it keeps what it holds and dials another).
 
 use crate::Chance;
+use crate::around::Crossed;
 use crate::plane::{Plane, lock};
 use dahliapoint_fibers::{Bell, Queue, Received, sleep, spawn};
 use dahliapoint_grpc::{Code, Inbound, Limits, Link, Outbound, Status};
+use dahliapoint_xds::Message as _;
 use dahliapoint_xds::names::LEDS;
 use dahliapoint_xds::pb::discovery::DeltaDiscoveryResponse;
 use dahliapoint_xds::pb::load_stats::LoadStatsResponse;
@@ -28,6 +30,15 @@
 /// A message, when it came and when it may be taken.
 type Came = (DeltaDiscoveryResponse, Instant, Instant);
 
+fn crossed(response: &DeltaDiscoveryResponse) -> Crossed<'_> {
+    Crossed {
+        serial: &response.system_version_info,
+        lines: response.resources.len() + response.removed_resources.len(),
+        carries_lines: response.type_url == LEDS,
+        bytes: response.encoded_len() as u64,
+    }
+}
+
 /// Steers a plane until it is ended.
 pub struct Steering {
     plane: Arc<Plane>,
@@ -130,7 +141,7 @@
         queue.close();
         if let Received::Some(left) = queue.take_all(Some(Instant::now())) {
             left.iter()
-                .for_each(|(m, ..)| self.plane.around().dropped(m));
+                .for_each(|(m, ..)| self.plane.around().dropped(&crossed(m)));
         }
         over.ring();
         drop((outbound, link));
@@ -152,10 +163,10 @@
                 Err(e) if e.code == Code::DeadlineExceeded => break Ok(()),
                 Ok(Some(response)) => {
                     let came = Instant::now();
-                    let may = around.came(&response);
+                    let may = around.came(&crossed(&response));
                     let kept = response.clone();
                     if queue.put((response, came, may)).is_err() {
-                        around.dropped(&kept);
+                        around.dropped(&crossed(&kept));
                         break Ok(());
                     }
                 }
@@ -188,7 +199,7 @@
             let mut broken = None;
             for (response, came, may) in came {
                 if broken.is_some() || self.is_over() {
-                    self.plane.around().dropped(&response);
+                    self.plane.around().dropped(&crossed(&response));
                     continue;
                 }
                 let wait = may.saturating_duration_since(Instant::now());
@@ -235,7 +246,9 @@
             }
         }
         drop(holder);
-        self.plane.around().took(response, came, is_refused);
+        self.plane
+            .around()
+            .took(&crossed(response), came, is_refused);
         requests
     }
 
--- a/crates/standins/src/day.rs
+++ b/crates/standins/src/day.rs
@@ -69,6 +69,15 @@
     ("break_streams", What::BreakStreams),
 ];
 
+/// How obedient proxies get their tables.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fronts {
+    Streams,
+    Files,
+    /// Every other one.
+    Both,
+}
+
 /// All of a day.
 #[derive(Clone, Debug)]
 pub struct Day {
@@ -86,6 +95,7 @@
     /// By the obedient proxy, or by the scripted one.
     pub obedient: bool,
     pub way: Way,
+    pub front: Fronts,
     pub strikes: u32,
     pub shun_ms: f64,
     pub apply_us: f64,
@@ -134,6 +144,14 @@
         ("two", Way::Two),
     ];
     let way = proxies.field("picks").choice(&ways, Some(Way::Random));
+    let fronts = [
+        ("streams", Fronts::Streams),
+        ("files", Fronts::Files),
+        ("both", Fronts::Both),
+    ];
+    let front = proxies
+        .field("front")
+        .choice(&fronts, Some(Fronts::Streams));
     let strikes = proxies.field("strikes").number(0.0..=1000.0, Some(5.0)) as u32;
     let shun_ms = proxies.field("shun").time(0.0..=600_000.0, Some(3_000.0));
     let apply_us = proxies.field("apply").time(0.0..=1000.0, Some(0.04)) * 1e3;
@@ -171,6 +189,7 @@
         pace,
         obedient,
         way,
+        front,
         strikes,
         shun_ms,
         apply_us,
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -12,6 +12,10 @@
 mod world;
 
 use clap::{Parser, Subcommand, ValueEnum};
+use dahliapoint_files::disk::Plain;
+use dahliapoint_files::forms::{FORM, Form, Table, TableLine};
+use dahliapoint_files::publish::Publisher;
+use dahliapoint_files::seal::Keys;
 use std::ffi::OsString;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -34,6 +38,13 @@
     Scripted,
 }
 
+#[derive(Clone, Copy, PartialEq, ValueEnum)]
+enum Front {
+    Streams,
+    Files,
+    Both,
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Play a day; exit code 1 if a rule broke, 3 if it could not be played.
@@ -48,6 +59,9 @@
         /// Other proxies than the day names.
         #[arg(long, value_enum)]
         proxies: Option<Kind>,
+        /// Other ways for tables to come than the day names; for obedient proxies.
+        #[arg(long, value_enum)]
+        front: Option<Front>,
         /// Keep the day's folder (the controller's logs, its roster) here.
         #[arg(long)]
         keep: Option<PathBuf>,
@@ -71,6 +85,15 @@
         #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
         line: Vec<OsString>,
     },
+    /// Publishes tables of so many lines into a directory until it is killed, or so many.
+    #[command(hide = true)]
+    Publish {
+        dir: PathBuf,
+        #[arg(long, default_value_t = 100)]
+        lines: usize,
+        #[arg(long, default_value_t = u64::MAX)]
+        many: u64,
+    },
     #[command(hide = true)]
     Sabotaged {
         #[arg(value_enum)]
@@ -110,6 +133,13 @@
                 ExitCode::from(UNPLAYED)
             }
         },
+        Command::Publish { dir, lines, many } => match publish(dir, lines, many) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(why) => {
+                eprintln!("{why}");
+                ExitCode::from(UNPLAYED)
+            }
+        },
         Command::Sabotaged {
             wrong,
             file,
@@ -126,8 +156,9 @@
             json,
             wrong,
             proxies,
+            front,
             keep,
-        } => match bad_day(&file, wrong, proxies, keep) {
+        } => match bad_day(&file, wrong, (proxies, front), keep) {
             Ok(report) => {
                 let text = match json {
                     true => format!("{report:#}\n"),
@@ -150,11 +181,16 @@
 fn bad_day(
     file: &std::path::Path,
     wrong: Option<sabotage::Wrong>,
-    proxies: Option<Kind>,
+    (proxies, front): (Option<Kind>, Option<Front>),
     keep: Option<PathBuf>,
 ) -> Result<serde_json::Value, String> {
     let mut day = day::load(file)?;
     day.obedient = proxies.map_or(day.obedient, |kind| kind == Kind::Obedient);
+    day.front = front.map_or(day.front, |front| match front {
+        Front::Streams => day::Fronts::Streams,
+        Front::Files => day::Fronts::Files,
+        Front::Both => day::Fronts::Both,
+    });
     let own = std::env::temp_dir().join(format!("dahliapoint-day-{}", std::process::id()));
     let folder = keep.clone().unwrap_or(own);
     std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
@@ -173,3 +209,33 @@
     }
     report
 }
+
+/// Tables whose lines all tell the same mark: a reader sees whether one is mixed.
+fn publish(dir: PathBuf, lines: usize, many: u64) -> std::io::Result<()> {
+    let mut publisher = Publisher::new(dir, "p", Keys::default(), &[Form::Workers], 0);
+    let mut disk = Plain::default();
+    for mark in 0..many {
+        let line = |i: usize| TableLine {
+            server: format!("s{i:03}"),
+            address: format!("127.0.0.1:{}", 1000 + i),
+            weight: if i.is_multiple_of(8) {
+                mark as f64
+            } else {
+                (mark / 10 * 10) as f64
+            },
+            open: true,
+        };
+        let table = Table {
+            form: FORM,
+            serial: mark,
+            bound: true,
+            lines: (0..lines)
+                .map(line)
+                .map(|l| (l.server.clone(), l))
+                .collect(),
+            ..Table::default()
+        };
+        publisher.publish(&mut disk, table, 0, 600_000)?;
+    }
+    Ok(())
+}
--- a/crates/standins/src/obedient.rs
+++ b/crates/standins/src/obedient.rs
@@ -5,14 +5,12 @@
 use crate::world::lock;
 use dahliapoint_daemon::deployment::Repeat;
 use dahliapoint_fibers::{TcpStream, dial, shut_at, sleep, spawn};
-use dahliapoint_proxy::around::Around;
-use dahliapoint_proxy::described::{Class, Described, Listed};
+use dahliapoint_proxy::around::{Around, Crossed};
+use dahliapoint_proxy::described::{Class, Described, Listed, Spooled};
+use dahliapoint_proxy::filed::{Filed, Over};
 use dahliapoint_proxy::plane::Plane;
 use dahliapoint_proxy::steering::Steering;
 use dahliapoint_proxy::trying::Effect;
-use dahliapoint_xds::Message as _;
-use dahliapoint_xds::names::LEDS;
-use dahliapoint_xds::pb::discovery::DeltaDiscoveryResponse;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::io::{self, Read, Write};
@@ -28,10 +26,26 @@
 /// One life of a proxy's process.
 struct Life {
     plane: Arc<Plane>,
-    steering: Arc<Steering>,
+    steered: Steered,
     address: SocketAddr,
 }
 
+enum Steered {
+    Stream(Arc<Steering>),
+    Files(Arc<Filed>),
+}
+
+impl Life {
+    /// As when the process is killed.
+    fn end(&self) {
+        match &self.steered {
+            Steered::Stream(steering) => steering.end(),
+            Steered::Files(filed) => filed.end(Over::Silent),
+        }
+        self.plane.end(self.address, Instant::now());
+    }
+}
+
 pub struct Obedient {
     name: String,
     index: usize,
@@ -49,7 +63,13 @@
 }
 
 impl Obedient {
-    pub fn new(layer: &Arc<Layer>, index: usize, zone: usize, pace: f64) -> Arc<Obedient> {
+    pub fn new(
+        layer: &Arc<Layer>,
+        index: usize,
+        zone: usize,
+        pace: f64,
+        files: Option<Spooled>,
+    ) -> Arc<Obedient> {
         let name = format!("proxy-{index}");
         let classes = layer.classes.iter().zip(&layer.repeats);
         let classes = classes.map(|(c, repeat)| Class {
@@ -68,6 +88,7 @@
             zone: layer.world.zones[zone].clone(),
             pace,
             controllers: vec![layer.relays[zone].address],
+            files,
             listen: any,
             roster: PathBuf::new(),
             classes: classes.collect(),
@@ -121,8 +142,18 @@
             }
         };
         *lock(&self.before) = plane.servers();
+        let steered = match self.described.files.clone() {
+            None => Steered::Stream(Steering::start(plane.clone())),
+            Some(files) => match Filed::start(plane.clone(), files) {
+                Ok((filed, _)) => Steered::Files(filed),
+                Err(e) => {
+                    eprintln!("{}: {e}; it stays down", self.name);
+                    return;
+                }
+            },
+        };
         let life = Life {
-            steering: Steering::start(plane.clone()),
+            steered,
             plane,
             address,
         };
@@ -236,8 +267,7 @@
         let life = lock(&self.life).take();
         spawn(move || {
             if let Some(life) = life {
-                life.steering.end();
-                life.plane.end(life.address, Instant::now());
+                life.end();
                 lock(&self.kept).clear();
                 self.joined(false);
             }
@@ -313,7 +343,7 @@
         }
     }
 
-    fn came(&self, message: &DeltaDiscoveryResponse) -> Instant {
+    fn came(&self, message: &Crossed<'_>) -> Instant {
         let (world, channel) = (&self.layer.world, &self.layer.channel);
         let now = world.now_ms();
         let lines = self.lines(message);
@@ -321,7 +351,7 @@
         world.at(channel.leaves(now, lines) + channel.way_ms)
     }
 
-    fn took(&self, message: &DeltaDiscoveryResponse, came: Instant, is_refused: bool) {
+    fn took(&self, message: &Crossed<'_>, came: Instant, is_refused: bool) {
         let (world, ledger) = (&self.layer.world, &self.layer.world.ledger);
         let now = world.now_ms();
         let came = now - came.elapsed().as_secs_f64() * 1e3;
@@ -335,17 +365,16 @@
             return;
         };
         let servers = life.plane.servers();
-        if message.type_url == LEDS {
+        if message.carries_lines {
             *lock(&self.last_lines) = now;
-            let lines = message.resources.len() + message.removed_resources.len();
-            let bytes = message.encoded_len() as u64;
-            if lines > 0 {
-                let whole = bytes / lines as u64 * servers.len().max(lines) as u64;
-                ledger.wire(bytes, whole);
+            let lines = message.lines as u64;
+            if lines > 0 && message.bytes > 0 {
+                let whole = message.bytes / lines * (servers.len() as u64).max(lines);
+                ledger.wire(message.bytes, whole);
             }
         }
         let era = world.era.load(Ordering::SeqCst);
-        let serial = format!("{era}/{}", message.system_version_info);
+        let serial = format!("{era}/{}", message.serial);
         ledger.applied(&serial, came, now);
         let before = std::mem::replace(&mut *lock(&self.before), servers.clone());
         for left in before.iter().filter(|s| !servers.contains(s)) {
@@ -358,16 +387,15 @@
         }
     }
 
-    fn dropped(&self, message: &DeltaDiscoveryResponse) {
+    fn dropped(&self, message: &Crossed<'_>) {
         let ledger = &self.layer.world.ledger;
         ledger.message_done(self.lines(message), 0.0);
     }
 }
 
 impl Obedient {
-    fn lines(&self, message: &DeltaDiscoveryResponse) -> f64 {
-        let lines = message.resources.len() + message.removed_resources.len();
-        lines as f64 + self.layer.message_lines
+    fn lines(&self, message: &Crossed<'_>) -> f64 {
+        message.lines as f64 + self.layer.message_lines
     }
 }
 
--- a/crates/standins/src/play.rs
+++ b/crates/standins/src/play.rs
@@ -1,12 +1,13 @@
 //! Plays a day: servers, proxies, links and the roster as coroutines, the controller as a process.
 
 use crate::backend::{Backend, Cold};
-use crate::day::{Day, Event, What};
+use crate::day::{Day, Event, Fronts, What};
 use crate::obedient::Obedient;
 use crate::proxy::{Channel, Layer, Player, Proxy, Trouble};
 use crate::relay::{Mode, Relay};
 use crate::rules::{Figures, Ledger};
 use crate::world::{Heard, Told, World, lock};
+use dahliapoint_proxy::described::Spooled;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
@@ -20,6 +21,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// The front of files that a day adds to its deployment, and what its proxies are told of it.
+const FILES: &str =
+    "\nfiles: {dir: files, every: 100ms, read_every: 250ms, beat: 500ms, forms: [balancer]}\n";
+const READ_MS: f64 = 250.0;
+const BEAT_MS: f64 = 500.0;
+
 /// How often rule 1 is looked at.
 const LOOK_MS: f64 = 50.0;
 /// Servers are looked after at their probe; told starts are known after the roster's own period.
@@ -352,7 +359,11 @@
         frozen: false,
         broken: false,
     };
-    let put = std::fs::write(folder.join("deployment.yaml"), &day.deployment_text);
+    let mut text = day.deployment_text.clone();
+    if day.front != Fronts::Streams {
+        text.push_str(FILES);
+    }
+    let put = std::fs::write(folder.join("deployment.yaml"), text);
     put.map_err(|e| format!("{}: {e}", folder.display()))?;
     roster.write(&backends)?;
     let controller = process.start()?;
@@ -387,7 +398,20 @@
     let proxies: Vec<Arc<dyn Player>> = (0..day.proxies)
         .map(|i| -> Arc<dyn Player> {
             match day.obedient {
-                true => Obedient::new(&layer, i, i % zones, day.pace),
+                true => {
+                    let by_files = match day.front {
+                        Fronts::Streams => false,
+                        Fronts::Files => true,
+                        Fronts::Both => i % 2 == 1,
+                    };
+                    let files = by_files.then(|| Spooled {
+                        dir: folder.join("files"),
+                        keys: None,
+                        every_ms: READ_MS,
+                        beat_ms: BEAT_MS,
+                    });
+                    Obedient::new(&layer, i, i % zones, day.pace, files)
+                }
                 false => Proxy::new(&layer, i, i % zones, day.pace),
             }
         })
@@ -448,6 +472,7 @@
         "peak_memory_mib": used.map(|u| u.1),
         "deciding": overview["deciding"],
         "intake": overview["intake"],
+        "files": overview["files"],
     });
     report["kept"] = json!(!world.ledger.is_broken());
     Ok(report)
--- a/crates/standins/tests/days.rs
+++ b/crates/standins/tests/days.rs
@@ -13,18 +13,16 @@
 
 /// Plays a day; its exit code and its report.
 fn play(name: &str, wrong: Option<&str>) -> (i32, Value) {
-    play_with(name, wrong, None)
+    play_with(name, wrong, &[])
 }
 
-fn play_with(name: &str, wrong: Option<&str>, proxies: Option<&str>) -> (i32, Value) {
+fn play_with(name: &str, wrong: Option<&str>, more: &[&str]) -> (i32, Value) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_dahliapoint-standins"));
     command.arg("bad-day").arg(day(name)).arg("--json");
     if let Some(wrong) = wrong {
         command.args(["--wrong", wrong]);
     }
-    if let Some(proxies) = proxies {
-        command.args(["--proxies", proxies]);
-    }
+    command.args(more);
     let out = command.output().unwrap();
     let code = out.status.code().unwrap_or(-1);
     let said = String::from_utf8_lossy(&out.stderr).to_string();
@@ -41,7 +39,11 @@
 
 /// All rules are kept, and none of them because nothing was looked at.
 fn keeps(name: &str, checked: &[usize]) -> Value {
-    let (code, report) = play(name, None);
+    keeps_with(name, checked, &[])
+}
+
+fn keeps_with(name: &str, checked: &[usize], more: &[&str]) -> Value {
+    let (code, report) = play_with(name, None, more);
     assert_eq!(code, 0, "{report:#}");
     for rule in checked {
         assert!(
@@ -112,6 +114,24 @@
     keeps("everything", &ALL);
 }
 
+/// The same days over files, and over both fronts at once.
+#[test]
+fn tables_come_as_files() {
+    let files = ["--front", "files"];
+    let report = keeps_with("restart-during-drain", &ALL, &files);
+    assert!(
+        report["controller"]["files"]["published"].as_u64() > Some(8),
+        "{report:#}"
+    );
+    let report = keeps_with("killed-mid-tick", &ALL, &files);
+    assert_eq!(report["controller"]["starts"], 3);
+}
+
+#[test]
+fn tables_come_by_both_fronts() {
+    keeps_with("everything", &ALL, &["--front", "both"]);
+}
+
 /// Each checker catches its saboteur; the same parts without sabotage pass.
 #[test]
 fn the_checkers_catch_who_breaks_their_rule() {
@@ -153,7 +173,7 @@
                 (
                     wrong,
                     wanted,
-                    play_with("sabotage", Some(wrong), Some("obedient")),
+                    play_with("sabotage", Some(wrong), &["--proxies", "obedient"]),
                 )
             })
         })
--- /dev/null
+++ b/crates/standins/tests/kills.rs
@@ -0,0 +1,91 @@
+//! A publisher that is killed outright, two hundred times, while readers run flat out.
+
+use dahliapoint_files::read::{Look, Reader};
+use dahliapoint_files::seal::Keys;
+use std::path::PathBuf;
+use std::process::{Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+const KILLS: u64 = 200;
+const LINES: usize = 100;
+const LONG: Duration = Duration::from_secs(20);
+
+/// Reads all of the table in force, by a reader that knows nothing; its generation.
+fn read(dir: &std::path::Path) -> Option<u64> {
+    match Reader::new(dir.join("p"), "p", Keys::default()).look(None) {
+        Look::Same => None,
+        Look::New(table) => {
+            let whole = table.lines.len() == LINES;
+            let same = table.lines.values().enumerate().all(|(i, l)| {
+                let mark = table.serial;
+                l.weight
+                    == if i.is_multiple_of(8) {
+                        mark as f64
+                    } else {
+                        (mark / 10 * 10) as f64
+                    }
+            });
+            assert!(whole && same, "a mixed table: {table:?}");
+            Some(table.generation)
+        }
+        Look::Bad(generation, why) => panic!("generation {generation}: {why}"),
+    }
+}
+
+#[test]
+fn two_hundred_kills_leave_no_reader_with_a_bad_table() {
+    let dir = std::env::temp_dir().join(format!("dahliapoint-kills-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let (over, reads) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicU64::new(0)),
+    );
+    let readers: Vec<_> = (0..2)
+        .map(|_| {
+            let (dir, over, reads): (PathBuf, _, _) = (dir.clone(), over.clone(), reads.clone());
+            std::thread::spawn(move || {
+                let mut last = 0;
+                while !over.load(Ordering::SeqCst) {
+                    let found = read(&dir).unwrap_or(last);
+                    assert!(found >= last, "{found} after {last}");
+                    last = found;
+                    reads.fetch_add(1, Ordering::SeqCst);
+                }
+            })
+        })
+        .collect();
+    let mut last = 0;
+    for kill in 0..KILLS {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_dahliapoint-standins"))
+            .arg("publish")
+            .arg(dir.join("p"))
+            .args(["--lines", &LINES.to_string()])
+            .stderr(Stdio::inherit())
+            .spawn()
+            .unwrap();
+        // Killed at another place each time: somewhere within the publication after some.
+        let wanted = last + 1 + kill % 3;
+        let until = Instant::now() + LONG;
+        while read(&dir).unwrap_or(0) <= wanted {
+            assert!(Instant::now() < until, "nothing is published");
+            std::hint::spin_loop();
+        }
+        let begun = Instant::now();
+        while begun.elapsed() < Duration::from_micros(kill * 17 % 1_500) {
+            std::hint::spin_loop();
+        }
+        child.kill().unwrap();
+        child.wait().unwrap();
+        let found = read(&dir).unwrap();
+        assert!(found > last, "{found} after {last}");
+        last = found;
+    }
+    over.store(true, Ordering::SeqCst);
+    readers.into_iter().for_each(|r| r.join().unwrap());
+    let reads = reads.load(Ordering::SeqCst);
+    assert!(reads > KILLS, "{reads} reads");
+    println!("{KILLS} kills, {last} generations, {reads} whole reads");
+    let _ = std::fs::remove_dir_all(&dir);
+}
--- a/crates/xds/src/front.rs
+++ b/crates/xds/src/front.rs
@@ -9,7 +9,7 @@
 use crate::resources::Shape;
 use crate::session::{Answer, Flavour, Session};
 use crate::{LEDS_FEATURE, lrs, status};
-use dahliapoint_control::{Input, Output, Report, Session as Id};
+use dahliapoint_control::{Input, Output, Owner, Session as Id};
 use dahliapoint_fibers::{Bell, spawn};
 use dahliapoint_grpc::{Call, Code, Handler, Inbound, Outbound, Status};
 use std::collections::{BTreeMap, HashMap};
@@ -21,23 +21,6 @@
 /// A stream ends when its peer has taken nothing for so long while something waits for it.
 const UNREAD: std::time::Duration = std::time::Duration::from_secs(10);
 
-/// The owner of the controller, as a front sees it.
-pub trait Owner: Send + Sync + 'static {
-    /// Puts an input into its queue, waiting for room; false once it has ended.
-    fn put(&self, input: Input) -> bool;
-    /// A stream of load reports of a proxy begins, or ends; `stream` is its own number.
-    fn reporter(&self, proxy: &str, stream: Id, begins: bool);
-    /// Takes a report in, without waiting.
-    ///
-    /// # Errors
-    /// Why it is not taken.
-    fn report(&self, proxy: &str, stream: Id, report: Report) -> Result<(), String>;
-    /// How often proxies are to report now.
-    fn report_every_ms(&self) -> f64;
-    /// The present state, for people.
-    fn overview(&self) -> serde_json::Value;
-}
-
 /// A discovery stream.
 pub struct Stream {
     pub id: Id,
--- a/crates/xds/src/lib.rs
+++ b/crates/xds/src/lib.rs
@@ -13,7 +13,8 @@
 mod session;
 mod status;
 
-pub use front::{Front, Owner, Stream};
+pub use dahliapoint_control::Owner;
+pub use front::{Front, Stream};
 pub use holder::{Held, HeldLine, Holder};
 pub use lrs::{ClusterTally, EndpointTally, read as read_loads, request as load_request};
 pub use resources::{SCALE, Shape};
--- a/crates/xds/tests/protocol.rs
+++ b/crates/xds/tests/protocol.rs
@@ -408,6 +408,7 @@
         dropped_may_stay: false,
         usual_tries: FurtherTry::OnProof,
         may_probe: false,
+        beat_ms: 1_000.0,
     }
 }
 
