--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -4,7 +4,7 @@
 use crate::membership::{self, Deed, Member, Patience};
 use crate::presence::{self, Presence};
 use crate::reports::{ClassView, EstimateView, Reports, fault_of};
-use crate::servers::Servers;
+use crate::servers::{Servers, Slot};
 use crate::{AdminState, Entry, FurtherTry, Input, Line, LineState, Message, Output, Report};
 use crate::{Scope, Session, Terms, Way};
 use dahliapoint::rules::Planner;
@@ -775,11 +775,14 @@
         }
     }
 
-    /// The present state, for people.
-    pub fn overview(&self) -> Overview {
-        let servers = self.servers.known().map(|(i, s)| ServerView {
-            estimate: self.reports.view(self.now, i),
-            by_class: self.reports.class_views(self.now, i),
+    /// The servers as they stand, without what reports say of them.
+    pub fn servers(&self) -> Vec<ServerView> {
+        let servers = self.servers.known();
+        servers.map(|(_, s)| self.view_of(s)).collect()
+    }
+
+    fn view_of(&self, s: &Slot) -> ServerView {
+        ServerView {
             name: s.name.clone(),
             address: s.address.clone(),
             zone: self.terms.zones[s.zone].clone(),
@@ -788,6 +791,23 @@
             part: s.part,
             weight: s.weight,
             shut: s.shut,
+            estimate: None,
+            by_class: Vec::new(),
+        }
+    }
+
+    /// What is let in of each class.
+    pub fn levels(&self) -> Vec<(String, f64)> {
+        let names = self.terms.classes.iter().map(|c| c.name.clone());
+        names.zip(self.ways.iter().map(|w| w.share)).collect()
+    }
+
+    /// The present state, for people.
+    pub fn overview(&self) -> Overview {
+        let servers = self.servers.known().map(|(i, s)| ServerView {
+            estimate: self.reports.view(self.now, i),
+            by_class: self.reports.class_views(self.now, i),
+            ..self.view_of(s)
         });
         let proxies = self.proxies.iter().map(|(i, p)| ProxyView {
             contrary: self.reports.is_contrary(*i),
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -2,7 +2,7 @@
 
 use crate::deployment::{self, Deployment, LogForm};
 use crate::life::{Daemon, Source};
-use crate::{roster, sample, status};
+use crate::{memory, roster, sample, status};
 use clap::{Parser, Subcommand};
 use dahliapoint_control::record::{End, bytes_of, replay};
 use dahliapoint_files::forms::Form;
@@ -59,6 +59,15 @@
         #[arg(long, value_enum, default_value = "json")]
         form: Written,
     },
+    /// Look into a directory of what a controller knows.
+    State {
+        #[arg(value_enum)]
+        what: Look,
+        dir: PathBuf,
+        /// The key file that it is sealed with.
+        #[arg(long)]
+        key: Option<PathBuf>,
+    },
     /// Play a record again: what was ordered, and the sum of it.
     Replay {
         file: PathBuf,
@@ -68,6 +77,17 @@
     },
 }
 
+/// What is done with a directory of memory.
+#[derive(Clone, Copy, clap::ValueEnum)]
+enum Look {
+    /// Print what is known.
+    Show,
+    /// Say whether all of it can be read; exit code 1 if something was passed over.
+    Verify,
+    /// Write it as one snapshot; no controller may hold it.
+    Compact,
+}
+
 /// A form that a table is printed in.
 #[derive(Clone, Copy, clap::ValueEnum)]
 enum Written {
@@ -94,6 +114,7 @@
         Command::Check { file } => check(&file),
         Command::Status { at, json } => ask(at, json),
         Command::Export { at, part, form } => export(at, part, form),
+        Command::State { what, dir, key } => state(what, &dir, key.as_deref()),
         Command::Replay { file, quiet } => again(&file, quiet),
     };
     match done {
@@ -193,6 +214,29 @@
     Ok(())
 }
 
+fn state(what: Look, dir: &Path, key: Option<&Path>) -> Done {
+    let (facts, found) = match what {
+        Look::Show | Look::Verify => memory::read(dir, key).map_err(wrong)?,
+        Look::Compact => {
+            let (_, facts, found) = memory::open(dir, key).map_err(wrong)?;
+            (facts, found)
+        }
+    };
+    let told = match what {
+        Look::Show => memory::as_table(&facts),
+        Look::Verify | Look::Compact => {
+            let found = serde_json::to_string(&found).map_err(wrong)?;
+            format!("{} servers, {found}\n", facts.servers.len())
+        }
+    };
+    let _ = std::io::stdout().write_all(told.as_bytes());
+    let whole = found.passed_over.is_empty() && found.torn_bytes == 0;
+    match what {
+        Look::Verify if !whole => Err((1, format!("{}: not all of it can be read", dir.display()))),
+        _ => Ok(()),
+    }
+}
+
 fn export(at: SocketAddr, part: usize, form: Written) -> Done {
     let (overview, _) = status::fetch(at).map_err(|e| (1, format!("{at}: {e}")))?;
     let table = status::table(&overview, part);
--- a/crates/daemon/src/deployment.rs
+++ b/crates/daemon/src/deployment.rs
@@ -49,6 +49,8 @@
     pub stream_patience_ms: f64,
     /// The front of files, if there is one.
     pub files: Option<Files>,
+    /// Where what is known is kept over restarts, and the key that it is sealed with.
+    pub memory: Option<(PathBuf, Option<PathBuf>)>,
 }
 
 /// The front of files, as a deployment tells it.
@@ -170,6 +172,15 @@
         .is_there()
         .then(|| self::files(&files, folder, grace_ms));
 
+    let memory = at.field("memory");
+    let memory = memory.is_there().then(|| {
+        let key = memory.field("key");
+        let key = key.is_there().then(|| folder.join(key.text(None)));
+        let dir = folder.join(memory.field("dir").text(None));
+        memory.close();
+        (dir, key)
+    });
+
     let log = at.field("log");
     let forms = [("text", LogForm::Text), ("json", LogForm::Json)];
     let log_form = log.field("form").choice(&forms, Some(LogForm::Text));
@@ -224,6 +235,7 @@
         seed,
         stream_patience_ms: patience,
         files,
+        memory,
     }
 }
 
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -9,6 +9,8 @@
 use dahliapoint_fibers::{Bell, Queue, Received};
 use dahliapoint_intake::mouth::{Line, Mouth, Read};
 use dahliapoint_intake::pace::Interval;
+use dahliapoint_memory::facts::{Change, Differ};
+use dahliapoint_memory::keeper::{self, Keeper};
 use dahliapoint_scheduler::{Budget, Id, Piece, Scheduler, Told};
 use dahliapoint_xds::Owner;
 
@@ -134,6 +136,7 @@
     reading: Option<(Id, f64)>,
     lines_before: u64,
     asked: Vec<(Id, Arc<Asked>)>,
+    memory: Option<(Arc<Keeper>, Differ)>,
 }
 
 impl Engine {
@@ -161,6 +164,7 @@
         record: Option<&Path>,
         first: Vec<Input>,
         hand: Hand,
+        memory: Option<(Arc<Keeper>, Differ)>,
     ) -> io::Result<JoinHandle<()>> {
         let now = self.clock.now_ms();
         let mut recorder = None;
@@ -193,6 +197,7 @@
             reading: None,
             lines_before: 0,
             asked: Vec::new(),
+            memory,
         };
         let engine = self.clone();
         std::thread::Builder::new()
@@ -261,6 +266,9 @@
             work.record = None;
         }
         let count = inputs.len();
+        // What the roster says is remembered at once, the rest once a round.
+        let listed = |i: &Input| matches!(i, Input::Roster(_) | Input::RosterChanges(_));
+        let roster = inputs.iter().any(listed);
         let outputs = work.controller.take(now, inputs);
         let took = self.clock.now_ms() - now;
         {
@@ -275,6 +283,24 @@
                 info!(target: "decisions", "{note}");
             }
         }
+        if roster {
+            self.remember(work);
+        }
+    }
+
+    /// Offers what has changed to memory, without waiting.
+    fn remember(&self, work: &mut Work) {
+        let Some((keeper, differ)) = &mut work.memory else {
+            return;
+        };
+        let now = keeper::now();
+        let (servers, levels) = (work.controller.servers(), work.controller.levels());
+        let mut changes = differ.changes(&now, &servers, &levels);
+        changes.push(Change::Alive(now));
+        if !keeper.offer(changes) {
+            // What was not taken is found again, all of it.
+            *differ = Differ::default();
+        }
     }
 
     /// Takes what the mouth holds, as much as may be read in a round, and has it read in slices.
@@ -297,6 +323,7 @@
             self.every_ms.store(every.to_bits(), Ordering::SeqCst);
         }
         work.next_round = (work.next_round + work.every_ms).max(now);
+        self.remember(work);
         work.unread = read.into();
         let piece = Piece {
             class: READING,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod deployment;
 pub mod engine;
 pub mod life;
+pub mod memory;
 pub mod probe;
 pub mod roster;
 pub mod sample;
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -2,12 +2,16 @@
 
 use crate::deployment::Deployment;
 use crate::engine::{Clock, Engine};
+use crate::memory;
 use crate::probe::Prober;
 use crate::roster::{Look, Watch};
 use dahliapoint_control::{Entry, Input, Output, Owner};
 use dahliapoint_files::front::{self as files, Place};
 use dahliapoint_files::reach::Promise;
 use dahliapoint_grpc::{Limits, Server};
+use dahliapoint_memory::ageing::{self, Recall};
+use dahliapoint_memory::facts::{Differ, Facts};
+use dahliapoint_memory::keeper::{self, Keeper};
 use dahliapoint_xds::{Front, Shape};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -37,6 +41,7 @@
     ending: Arc<AtomicBool>,
     watcher: Option<JoinHandle<()>>,
     files: Option<(Arc<files::Front>, JoinHandle<()>)>,
+    memory: Option<(Arc<Keeper>, JoinHandle<()>)>,
 }
 
 impl Daemon {
@@ -50,11 +55,29 @@
         record: Option<PathBuf>,
     ) -> Result<Daemon, String> {
         let terms = deployment.terms.clone();
+        let (memory, facts) = match &deployment.memory {
+            None => (None, Facts::default()),
+            Some((dir, key)) => {
+                let (store, facts, found) = memory::open(dir, key.as_deref())?;
+                info!(dir = %dir.display(), servers = facts.servers.len(), ?found, "what was known is read");
+                for passed in &found.passed_over {
+                    warn!("memory: {passed}");
+                }
+                let kept = facts.clone();
+                let started = Keeper::start(store, kept, found);
+                let started = started.map_err(|e| format!("{}: {e}", dir.display()))?;
+                (Some(started), facts)
+            }
+        };
         let mut watch = Watch::new(&deployment.roster, &terms.zones);
         let (entries, watched) = match source {
             Source::Fixed(entries) => (entries, false),
             Source::File => match watch.look() {
                 Look::New(entries) => (entries, true),
+                Look::Refused(why) if !facts.servers.is_empty() => {
+                    warn!("the roster is refused, the last one that is remembered stands: {why}");
+                    (facts.entries(), true)
+                }
                 Look::Refused(why) => return Err(why),
                 Look::Same => return Err("the roster was not read".into()),
             },
@@ -113,9 +136,26 @@
             })
         };
         let servers = entries.len();
-        let first = vec![Input::Roster(entries)];
+        let mut first = Vec::new();
+        if !facts.servers.is_empty() {
+            // What is remembered goes before what is: it enters as any day's events do.
+            let now = keeper::now();
+            let (told, how) = ageing::recall(&now, &facts, &entries, terms.warm_after_ms);
+            let doubted = how.iter().filter(|r| **r != Recall::AsListed).count();
+            info!(
+                servers,
+                doubted, "what was known is told to the planner first"
+            );
+            first.push(Input::Roster(told));
+        }
+        first.push(Input::Roster(entries));
+        let kept = memory.as_ref();
+        let kept = kept.map(|(keeper, _)| (keeper.clone(), Differ::since(&facts)));
+        if let Some((keeper, _)) = kept.clone() {
+            engine.shows("memory", Box::new(move || keeper.view()));
+        }
         let owner = engine
-            .run(seed, terms, record.as_deref(), first, hand)
+            .run(seed, terms, record.as_deref(), first, hand, kept)
             .map_err(|e| format!("the controller cannot start: {e}"))?;
         let ending = Arc::new(AtomicBool::new(false));
         let every = Duration::from_secs_f64(deployment.roster_every_ms / 1e3);
@@ -129,6 +169,7 @@
             ending,
             watcher: watcher.flatten(),
             files,
+            memory,
         })
     }
 
@@ -153,6 +194,10 @@
             front.end();
             let _ = thread.join();
         }
+        if let Some((keeper, thread)) = self.memory {
+            keeper.end();
+            let _ = thread.join();
+        }
         if let Some(watcher) = self.watcher {
             let _ = watcher.join();
         }
--- a/crates/files/src/disk.rs
+++ b/crates/files/src/disk.rs
@@ -11,11 +11,11 @@
     /// # Errors
     /// Those of the system; so for all calls here.
     fn make_dir(&mut self, path: &Path) -> io::Result<()>;
-    /// Writes a new file and syncs what is in it.
+    /// Writes a new file, and syncs what is in it if asked to.
     ///
     /// # Errors
     /// See [`Disk::make_dir`].
-    fn write(&mut self, path: &Path, bytes: &[u8]) -> io::Result<()>;
+    fn write(&mut self, path: &Path, bytes: &[u8], synced: bool) -> io::Result<()>;
     /// A second name for a file.
     ///
     /// # Errors
@@ -34,7 +34,7 @@
     /// # Errors
     /// See [`Disk::make_dir`].
     fn remove(&mut self, path: &Path) -> io::Result<()>;
-    /// Syncs a directory's names.
+    /// Syncs a file's bytes, or a directory's names.
     ///
     /// # Errors
     /// See [`Disk::make_dir`].
@@ -70,13 +70,13 @@
         }
     }
 
-    fn write(&mut self, path: &Path, bytes: &[u8]) -> io::Result<()> {
-        self.calls += 4;
+    fn write(&mut self, path: &Path, bytes: &[u8], synced: bool) -> io::Result<()> {
+        self.calls += 3 + u64::from(synced);
         self.bytes += bytes.len() as u64;
         // Made new: a link that somebody put there is not followed.
         let mut file = OpenOptions::new().write(true).create_new(true).open(path)?;
         file.write_all(bytes)?;
-        file.sync_data()
+        if synced { file.sync_data() } else { Ok(()) }
     }
 
     fn link(&mut self, from: &Path, to: &Path) -> io::Result<()> {
--- a/crates/files/src/front.rs
+++ b/crates/files/src/front.rs
@@ -71,6 +71,8 @@
 enum Work {
     Write(Session),
     Listen(String),
+    /// What is in force is synced.
+    Sync(String),
 }
 
 struct Hand<D: Disk> {
@@ -93,6 +95,8 @@
     /// New generations lie above this number.
     least: u64,
     life: u64,
+    /// By the disk's own clock, as of this round.
+    disk_now: SystemTime,
     rounds: u64,
     published: u64,
     failed: u64,
@@ -137,6 +141,7 @@
             next_round: 0.0,
             least: wall / 1000,
             life: wall,
+            disk_now: SystemTime::now(),
             rounds: 0,
             published: 0,
             failed: 0,
@@ -276,19 +281,14 @@
         let text = json!({"count": self.rounds, "life": self.life}).to_string();
         let aside = self.place.dir.join(".alive");
         std::fs::write(&aside, self.place.keys.sealed(&text))?;
+        self.disk_now = std::fs::metadata(&aside)?.modified()?;
         std::fs::rename(&aside, self.place.dir.join(ALIVE))
     }
 
-    fn disk_now(&self) -> SystemTime {
-        let about = std::fs::metadata(self.place.dir.join(ALIVE));
-        let told = about.and_then(|m| m.modified());
-        told.unwrap_or_else(|_| SystemTime::now())
-    }
-
     fn submit(&mut self, now: f64, class: usize, work: Work) {
         let owner = match &work {
             Work::Write(session) => *session,
-            Work::Listen(proxy) => proxy
+            Work::Listen(proxy) | Work::Sync(proxy) => proxy
                 .bytes()
                 .fold(7, |a, b| (a ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)),
         };
@@ -359,11 +359,16 @@
             Some(Work::Write(session)) => self.publish(session),
             Some(Work::Listen(proxy)) => {
                 self.listening.remove(&proxy);
-                let now = self.disk_now();
-                for said in self.spool.look(&proxy, now) {
+                for said in self.spool.look(&proxy, self.disk_now) {
                     self.hear(&proxy, said);
                 }
             }
+            Some(Work::Sync(proxy)) => {
+                if let Some(publisher) = self.publishers.get_mut(&proxy) {
+                    // It was removed or replaced meanwhile, or the disk says no: the next one is synced.
+                    let _ = publisher.sync(&mut self.disk);
+                }
+            }
             None => {}
         }
     }
@@ -385,13 +390,16 @@
         let wall = SystemTime::now().duration_since(UNIX_EPOCH);
         let wall = wall.map_or(0, |d| d.as_millis() as u64);
         let valid = self.place.valid_ms as u64;
-        match publisher.publish(&mut self.disk, table, wall, valid) {
+        match publisher.publish(&mut self.disk, table, wall, valid, wants != Wants::Urgently) {
             Ok(generation) => {
                 self.published += 1;
                 seat.published(now, generation);
                 if wants == Wants::Urgently {
+                    // A drain does not wait for a disk: it is in force, and synced behind all else.
+                    let work = Work::Sync(seat.proxy.clone());
                     let took = self.begun.elapsed().as_secs_f64() * 1e3 - now;
                     self.longest_withdrawal_ms = self.longest_withdrawal_ms.max(took);
+                    self.submit(now, REFRESH, work);
                 }
             }
             Err(e) => {
@@ -404,19 +412,30 @@
     }
 
     fn hear(&mut self, proxy: &str, said: Said) {
+        let life = match &said {
+            Said::Beat(_) => None,
+            Said::Ack(ack) => Some(ack.life),
+            Said::Report(told) => Some(told.life),
+        };
+        // Any word of a life is a sign of it.
+        let seat = self.by_proxy.get(proxy).and_then(|s| self.seats.get(s));
+        if let Some(seat) = seat.filter(|s| Some(s.life) == life) {
+            self.owner.put(seat.beat());
+        }
         match said {
             Said::Beat(beat) => {
                 let session = self.session(proxy, beat.life);
+                if let Some(seat) = self.seats.get_mut(&session) {
+                    (seat.zone, seat.pace) = (beat.zone.clone(), beat.pace);
+                }
                 if let (Some(held), Some(p)) = (beat.holds, self.publishers.get_mut(proxy)) {
                     p.above(held);
                 }
                 self.owner.put(match beat.leaves {
                     true => Input::Goodbye(session),
-                    false => Input::Beat {
-                        session,
-                        proxy: proxy.into(),
-                        zone: beat.zone,
-                        pace: beat.pace,
+                    false => match self.seats.get(&session) {
+                        Some(seat) => seat.beat(),
+                        None => return,
                     },
                 });
             }
@@ -480,7 +499,7 @@
             "proxies": self.seats.len(),
             "unanswered": self.seats.values().map(Seat::unanswered).sum::<usize>(),
             "published": self.published, "whole": whole, "patched": patched, "failed": self.failed,
-            "spool": self.spool.tally, "rounds": self.rounds,
+            "spool": &self.spool.tally, "rounds": self.rounds,
             "longest_piece_ms": self.longest_ms, "longest_withdrawal_ms": self.longest_withdrawal_ms,
         })
     }
--- a/crates/files/src/publish.rs
+++ b/crates/files/src/publish.rs
@@ -109,7 +109,8 @@
         self.base = None;
     }
 
-    /// Publishes a table; its generation.
+    /// Publishes a table; its generation. What is not synced here is in force at once, and outlasts a power
+    /// cut only after [`Publisher::sync`]: a reader that finds half of it then says so and keeps its own.
     ///
     /// # Errors
     /// Those of the disk; what was in force stays so, unless only the last sync failed.
@@ -119,13 +120,14 @@
         mut table: Table,
         at_ms: u64,
         valid_ms: u64,
+        synced: bool,
     ) -> io::Result<u64> {
         self.generation += 1;
         let generation = self.generation;
         table.generation = generation;
         table.proxy.clone_from(&self.proxy);
         let aside = self.dir.join(name_of(generation));
-        let done = self.write(disk, &aside, table, at_ms, valid_ms);
+        let done = self.write(disk, &aside, table, (at_ms, valid_ms), synced);
         if done.is_err() {
             // What is half there is in nobody's way; it goes if it can.
             let _ = disk.remove(&aside);
@@ -135,13 +137,29 @@
         done.map(|()| generation)
     }
 
+    /// Syncs what is in force, if it was published without.
+    ///
+    /// # Errors
+    /// Those of the disk.
+    pub fn sync(&mut self, disk: &mut dyn Disk) -> io::Result<()> {
+        let Some(newest) = self.there.last() else {
+            return Ok(());
+        };
+        let dir = self.dir.join(name_of(*newest));
+        for file in std::fs::read_dir(&dir)?.flatten() {
+            disk.sync(&file.path())?;
+        }
+        disk.sync(&dir)?;
+        disk.sync(&self.dir)
+    }
+
     fn write(
         &mut self,
         disk: &mut dyn Disk,
         aside: &Path,
         table: Table,
-        at_ms: u64,
-        valid_ms: u64,
+        (at_ms, valid_ms): (u64, u64),
+        synced: bool,
     ) -> io::Result<()> {
         disk.make_dir(&self.dir)?;
         let whole = serde_json::to_string(&table)?;
@@ -165,18 +183,18 @@
             (Published::Patched, Some(patch), Some(base)) => {
                 let held = self.dir.join(name_of(base.holder)).join(base.file);
                 disk.link(&held, &aside.join(BASE))?;
-                disk.write(&aside.join(PATCH), patch.as_bytes())?;
+                disk.write(&aside.join(PATCH), patch.as_bytes(), synced)?;
                 parts.push(base.part.clone());
                 parts.push(part(PATCH, &patch));
             }
             _ => {
-                disk.write(&aside.join(TABLE), whole.as_bytes())?;
+                disk.write(&aside.join(TABLE), whole.as_bytes(), synced)?;
                 parts.push(part(TABLE, &whole));
             }
         }
         for form in &self.forms {
             let text = form.write(&table);
-            disk.write(&aside.join(form.file()), text.as_bytes())?;
+            disk.write(&aside.join(form.file()), text.as_bytes(), synced)?;
             parts.push(part(form.file(), &text));
         }
         let manifest = Manifest {
@@ -188,8 +206,10 @@
             files: parts,
         };
         let manifest = self.keys.sealed(&serde_json::to_string(&manifest)?);
-        disk.write(&aside.join(MANIFEST), manifest.as_bytes())?;
-        disk.sync(aside)?;
+        disk.write(&aside.join(MANIFEST), manifest.as_bytes(), synced)?;
+        if synced {
+            disk.sync(aside)?;
+        }
         let pointer = self.dir.join(format!(".{}", name_of(table.generation)));
         disk.point(&pointer, &name_of(table.generation))?;
         if let Err(e) = disk.rename(&pointer, &self.dir.join(CURRENT)) {
@@ -217,7 +237,9 @@
             }
         }
         // A failure from here on costs a name that a power cut may bring back, or some room.
-        let _ = disk.sync(&self.dir);
+        if synced {
+            let _ = disk.sync(&self.dir);
+        }
         while self.there.len() > KEPT {
             let old = self.there.remove(0);
             let _ = disk.remove(&self.dir.join(name_of(old)));
--- a/crates/files/src/seal.rs
+++ b/crates/files/src/seal.rs
@@ -83,6 +83,11 @@
         mac
     }
 
+    /// The key that seals, by itself.
+    pub fn first(&self) -> Option<Vec<u8>> {
+        self.0.first().map(|(_, key)| key.clone())
+    }
+
     /// A seal for a text: `sha256 <sum>`, or `hmac <key's name> <sum>`.
     pub fn seal(&self, text: &[u8]) -> String {
         match self.0.first() {
--- a/crates/files/src/seat.rs
+++ b/crates/files/src/seat.rs
@@ -29,6 +29,9 @@
     pub session: Session,
     pub proxy: String,
     pub life: u64,
+    /// As it last said.
+    pub zone: String,
+    pub pace: Option<f64>,
     table: Table,
     part: Option<usize>,
     dirty: Option<Wants>,
@@ -56,6 +59,8 @@
             session,
             proxy: proxy.into(),
             life,
+            zone: String::new(),
+            pace: None,
             table,
             part: None,
             dirty: None,
@@ -66,6 +71,16 @@
         }
     }
 
+    /// A sign of life, as the controller takes it.
+    pub fn beat(&self) -> Input {
+        Input::Beat {
+            session: self.session,
+            proxy: self.proxy.clone(),
+            zone: self.zone.clone(),
+            pace: self.pace,
+        }
+    }
+
     /// Takes a message of the controller.
     pub fn deliver(&mut self, message: &Message, classes: &[String]) {
         let table = &mut self.table;
--- a/crates/files/src/spool.rs
+++ b/crates/files/src/spool.rs
@@ -32,10 +32,11 @@
 }
 
 /// What was taken and what was not, for people.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Tally {
     pub taken: u64,
-    pub dropped: u64,
+    /// By why.
+    pub dropped: BTreeMap<&'static str, u64>,
     pub quarantined: u64,
     /// Whole spools that could not be read.
     pub unread: u64,
@@ -197,8 +198,8 @@
                     taken.round += 1;
                     said.push(word);
                 }
-                Ok((Fate::Drop(_), _)) => {
-                    self.tally.dropped += 1;
+                Ok((Fate::Drop(why), _)) => {
+                    *self.tally.dropped.entry(why).or_default() += 1;
                     let _ = fs::remove_file(&path);
                 }
                 Ok((Fate::Quarantine(why), _)) => self.put_away(proxy, name, &path, why),
@@ -236,7 +237,11 @@
             Fate::Quarantine(why) => return Err(why.into()),
             Fate::Drop(_) | Fate::Leave => {
                 let _ = fs::remove_file(&inbox);
-                self.tally.dropped += 1;
+                *self
+                    .tally
+                    .dropped
+                    .entry("another file came in between")
+                    .or_default() += 1;
                 return Ok((Fate::Leave, None));
             }
         }
--- a/crates/files/tests/publication.rs
+++ b/crates/files/tests/publication.rs
@@ -57,13 +57,13 @@
         }
     }
 
-    fn write(&mut self, path: &Path, bytes: &[u8]) -> io::Result<()> {
+    fn write(&mut self, path: &Path, bytes: &[u8], synced: bool) -> io::Result<()> {
         let was_over = self.over;
         if self.goes() {
-            return self.plain.write(path, bytes);
+            return self.plain.write(path, bytes, synced);
         }
         if !was_over {
-            let _ = self.plain.write(path, &bytes[..bytes.len() / 2]);
+            let _ = self.plain.write(path, &bytes[..bytes.len() / 2], synced);
         }
         Err(full())
     }
@@ -125,7 +125,7 @@
 }
 
 fn publish(p: &mut Publisher, disk: &mut dyn Disk, table: Table) -> io::Result<u64> {
-    p.publish(disk, table, 0, 60_000)
+    p.publish(disk, table, 0, 60_000, true)
 }
 
 fn mark_of(look: Look) -> u64 {
--- /dev/null
+++ b/crates/memory/src/frames.rs
@@ -0,0 +1,180 @@
+//! How bytes are checked. A file begins with a head of 24 bytes: magic, the schema's version, the kind, whether
+//! it is keyed, and its generation. Then frames: length (u32, little endian), CRC-32 of the generation, the
+//! frame's number and the bytes; in a keyed file 32 bytes of an HMAC-SHA-256 that is chained over all before;
+//! the bytes. So neither a frame of another file nor one in another place is taken, and without the key
+//! nobody can add one.
+
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::Sha256;
+
+const MAGIC: &[u8; 8] = b"dahlmem\0";
+/// The version that is written. Older ones are read.
+pub const SCHEMA: u8 = 1;
+const HEAD: usize = 24;
+/// A longer frame is taken for damage.
+const LONGEST: usize = 1 << 20;
+
+/// What a file is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Journal,
+    Snapshot,
+}
+
+impl Kind {
+    fn letter(self) -> u8 {
+        match self {
+            Kind::Journal => b'J',
+            Kind::Snapshot => b'S',
+        }
+    }
+}
+
+/// A key for files; nothing: checksums alone.
+#[derive(Clone, Default)]
+pub struct Key(pub Option<Vec<u8>>);
+
+/// Where frames are written or read.
+#[derive(Clone)]
+pub struct Chain {
+    generation: u64,
+    number: u64,
+    key: Key,
+    mac: [u8; 32],
+}
+
+impl Chain {
+    pub fn new(generation: u64, key: &Key) -> Chain {
+        Chain {
+            generation,
+            number: 0,
+            key: key.clone(),
+            mac: [0; 32],
+        }
+    }
+
+    /// The head of a file.
+    pub fn head(&self, kind: Kind) -> Vec<u8> {
+        let mut out = MAGIC.to_vec();
+        out.extend([SCHEMA, kind.letter(), u8::from(self.key.0.is_some())]);
+        out.extend([0; 5]);
+        out.extend(self.generation.to_le_bytes());
+        out
+    }
+
+    fn crc(&self, bytes: &[u8]) -> u32 {
+        let mut sum = crc32fast::Hasher::new();
+        sum.update(&self.generation.to_le_bytes());
+        sum.update(&self.number.to_le_bytes());
+        sum.update(bytes);
+        sum.finalize()
+    }
+
+    fn next_mac(&self, bytes: &[u8]) -> Option<[u8; 32]> {
+        let key = self.key.0.as_ref()?;
+        let mut mac = Hmac::<Sha256>::new_from_slice(key).ok()?;
+        mac.update(&self.mac);
+        mac.update(&self.generation.to_le_bytes());
+        mac.update(bytes);
+        Some(mac.finalize().into_bytes().into())
+    }
+
+    /// Puts a frame behind what is there.
+    pub fn put(&mut self, out: &mut Vec<u8>, bytes: &[u8]) {
+        out.extend((bytes.len() as u32).to_le_bytes());
+        out.extend(self.crc(bytes).to_le_bytes());
+        if let Some(mac) = self.next_mac(bytes) {
+            out.extend(mac);
+            self.mac = mac;
+        }
+        out.extend(bytes);
+        self.number += 1;
+    }
+
+    /// Reads a frame: its bytes and its length in the file. Nothing if it is not whole or not ours.
+    fn take<'a>(&mut self, from: &'a [u8]) -> Option<(&'a [u8], usize)> {
+        let keyed: usize = if self.key.0.is_some() { 32 } else { 0 };
+        let word = |at: usize| Some(u32::from_le_bytes(from.get(at..at + 4)?.try_into().ok()?));
+        let length = word(0)? as usize;
+        let begin = 8 + keyed;
+        if length > LONGEST {
+            return None;
+        }
+        let bytes = from.get(begin..begin.checked_add(length)?)?;
+        if word(4)? != self.crc(bytes) {
+            return None;
+        }
+        if let Some(mac) = self.next_mac(bytes) {
+            if from.get(8..8 + keyed)? != mac {
+                return None;
+            }
+            self.mac = mac;
+        }
+        self.number += 1;
+        Some((bytes, begin + length))
+    }
+}
+
+/// Why a file is not read at all.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// Written by a newer program: nothing is done to it.
+    Newer(u8),
+    /// Keyed, and we have no key; or not keyed, and we have one.
+    Key,
+    NotOurs,
+}
+
+/// What was read.
+pub struct Read<'a> {
+    pub generation: u64,
+    pub frames: Vec<&'a [u8]>,
+    /// Bytes behind the last good frame.
+    pub left: usize,
+}
+
+/// The frames of a file, up to the first that is not whole.
+///
+/// # Errors
+/// Why nothing of it is read.
+pub fn read<'a>(bytes: &'a [u8], kind: Kind, key: &Key) -> Result<Read<'a>, Refused> {
+    let head = bytes.get(..HEAD).ok_or(Refused::NotOurs)?;
+    if head[..8] != MAGIC[..] || head[9] != kind.letter() {
+        return Err(Refused::NotOurs);
+    }
+    if head[8] > SCHEMA {
+        return Err(Refused::Newer(head[8]));
+    }
+    if (head[10] != 0) != key.0.is_some() {
+        return Err(Refused::Key);
+    }
+    let number = head[16..24].try_into().map_err(|_| Refused::NotOurs)?;
+    let generation = u64::from_le_bytes(number);
+    let mut chain = Chain::new(generation, key);
+    let (mut at, mut frames) = (HEAD, Vec::new());
+    while let Some((frame, length)) = chain.take(&bytes[at..]) {
+        frames.push(frame);
+        at += length;
+    }
+    // A first frame that is whole but for its seal was written with another key: a torn one is not whole.
+    if frames.is_empty() && key.0.is_some() && is_whole(&bytes[at..], generation) {
+        return Err(Refused::Key);
+    }
+    Ok(Read {
+        generation,
+        frames,
+        left: bytes.len() - at,
+    })
+}
+
+/// Whether a keyed file's first frame is whole, its seal aside.
+fn is_whole(from: &[u8], generation: u64) -> bool {
+    let length = from.get(..4).and_then(|b| b.try_into().ok());
+    let length = length.map_or(usize::MAX, |b| u32::from_le_bytes(b) as usize);
+    let sum = from.get(4..8).and_then(|b| b.try_into().ok());
+    let bytes = 40_usize
+        .checked_add(length)
+        .and_then(|end| from.get(40..end));
+    let chain = Chain::new(generation, &Key::default());
+    bytes.is_some_and(|bytes| sum.map(u32::from_le_bytes) == Some(chain.crc(bytes)))
+}
--- /dev/null
+++ b/crates/memory/src/store.rs
@@ -0,0 +1,309 @@
+//! Journal and snapshots in a directory.
+//!
+//! A generation is a snapshot and the journal of what changed since. A new one begins with its journal, to
+//! which all changes go from then on; its snapshot follows in slices, aside; only once that was renamed and
+//! read back are older files removed. What is read at a start: the newest snapshot that is whole, and all
+//! journals from its generation on, each up to its first frame that is not whole.
+
+use crate::facts::{Change, Facts};
+use crate::frames::{Chain, Key, Kind, Refused, read};
+use crate::layer::Layer;
+use serde::{Deserialize, Serialize};
+use std::io;
+
+/// A larger file is none of ours.
+const LARGEST: u64 = 1 << 30;
+const ASIDE: &str = "snapshot.aside";
+
+/// A frame's content.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+enum Record {
+    Change(Change),
+    /// The end of a snapshot, with the records before it: one without is not whole.
+    End(u64),
+}
+
+fn name_of(kind: Kind, generation: u64) -> String {
+    match kind {
+        Kind::Journal => format!("journal-{generation:012}"),
+        Kind::Snapshot => format!("snapshot-{generation:012}"),
+    }
+}
+
+fn generation_of(name: &str) -> Option<(Kind, u64)> {
+    let (kind, digits) = name.split_once('-')?;
+    let kind = match kind {
+        "journal" => Kind::Journal,
+        "snapshot" => Kind::Snapshot,
+        _ => return None,
+    };
+    let ours = digits.len() == 12 && digits.bytes().all(|b| b.is_ascii_digit());
+    ours.then(|| Some((kind, digits.parse().ok()?)))?
+}
+
+/// What a directory had to say.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Found {
+    /// The snapshot that was read, if one was; journals and records read after it.
+    pub snapshot: Option<u64>,
+    pub journals: u64,
+    pub records: u64,
+    /// Bytes behind the last good record of the journals: a torn tail, or damage.
+    pub torn_bytes: u64,
+    /// What was passed over, in words.
+    pub passed_over: Vec<String>,
+    #[serde(skip)]
+    pub newest: u64,
+}
+
+/// Reads a directory, changing nothing.
+///
+/// # Errors
+/// Those of the layer; also when a newer program, or one with another key, has written there: nothing of
+/// theirs is thrown away.
+pub fn recover(layer: &mut dyn Layer, key: &Key) -> io::Result<(Facts, Found)> {
+    let mut found = Found::default();
+    let mut files: Vec<(Kind, u64)> = layer
+        .list()?
+        .iter()
+        .filter_map(|n| generation_of(n))
+        .collect();
+    files.sort_by_key(|(_, generation)| *generation);
+    found.newest = files.last().map_or(0, |(_, g)| *g);
+    let mut facts = Facts::default();
+    let snapshots = files
+        .iter()
+        .rev()
+        .filter(|(kind, _)| *kind == Kind::Snapshot);
+    for (_, generation) in snapshots {
+        match snapshot(layer, *generation, key)? {
+            Ok((whole, records)) => {
+                facts = whole;
+                found.snapshot = Some(*generation);
+                found.records = records;
+                break;
+            }
+            Err(why) => {
+                let name = name_of(Kind::Snapshot, *generation);
+                found.passed_over.push(format!("{name}: {why}"));
+            }
+        }
+    }
+    let from = found.snapshot.unwrap_or(0);
+    let journals = files
+        .iter()
+        .filter(|(kind, g)| *kind == Kind::Journal && *g >= from);
+    for (_, generation) in journals {
+        let name = name_of(Kind::Journal, *generation);
+        let bytes = layer.read(&name, LARGEST)?;
+        let journal = match read(&bytes, Kind::Journal, key) {
+            Ok(journal) if journal.generation == *generation => journal,
+            Ok(_) | Err(Refused::NotOurs) => {
+                // Its head was not synced when the power went.
+                found.torn_bytes += bytes.len() as u64;
+                found.passed_over.push(format!("{name}: no head of ours"));
+                continue;
+            }
+            Err(refused) => return Err(refusal(&name, &refused)),
+        };
+        found.journals += 1;
+        found.torn_bytes += journal.left as u64;
+        for frame in journal.frames {
+            let taken = match postcard::from_bytes::<Record>(frame) {
+                Ok(Record::Change(change)) => facts.apply(change),
+                Ok(Record::End(_)) => Err("an end in a journal".into()),
+                Err(e) => Err(e.to_string()),
+            };
+            match taken {
+                Ok(()) => found.records += 1,
+                Err(why) => found.passed_over.push(format!("{name}: a record: {why}")),
+            }
+        }
+    }
+    Ok((facts, found))
+}
+
+fn refusal(name: &str, refused: &Refused) -> io::Error {
+    let why = match refused {
+        Refused::Newer(version) => {
+            format!("{name}: schema {version} is of a newer program; nothing is touched")
+        }
+        Refused::Key => format!("{name}: it is sealed with another key, or with none"),
+        Refused::NotOurs => format!("{name}: it is none of ours"),
+    };
+    io::Error::new(io::ErrorKind::InvalidData, why)
+}
+
+type Snapshot = Result<(Facts, u64), String>;
+
+fn snapshot(layer: &mut dyn Layer, generation: u64, key: &Key) -> io::Result<Snapshot> {
+    let name = name_of(Kind::Snapshot, generation);
+    let bytes = match layer.read(&name, LARGEST) {
+        Ok(bytes) => bytes,
+        Err(e) => return Ok(Err(e.to_string())),
+    };
+    let file = match read(&bytes, Kind::Snapshot, key) {
+        Ok(file) => file,
+        Err(Refused::NotOurs) => return Ok(Err("no head of ours".into())),
+        Err(refused) => return Err(refusal(&name, &refused)),
+    };
+    Ok(whole(&file.frames, file.generation == generation))
+}
+
+fn whole(frames: &[&[u8]], is_its_own: bool) -> Snapshot {
+    if !is_its_own {
+        return Err("of another generation".into());
+    }
+    let mut facts = Facts::default();
+    for (i, frame) in frames.iter().enumerate() {
+        match postcard::from_bytes::<Record>(frame).map_err(|e| e.to_string())? {
+            Record::Change(change) => facts.apply(change)?,
+            Record::End(count) if count == i as u64 && i + 1 == frames.len() => {
+                return Ok((facts, count));
+            }
+            Record::End(_) => return Err("an end in the wrong place".into()),
+        }
+    }
+    Err("it has no end".into())
+}
+
+/// A snapshot that is being written.
+struct Writing {
+    changes: Vec<Change>,
+    at: usize,
+    chain: Chain,
+}
+
+/// A directory that is written to.
+pub struct Store<L: Layer> {
+    layer: L,
+    key: Key,
+    generation: u64,
+    /// The journal's frames so far, and its bytes.
+    chain: Chain,
+    pub journal_bytes: u64,
+    writing: Option<Writing>,
+    pub snapshots: u64,
+}
+
+impl<L: Layer> Store<L> {
+    /// Reads a directory and begins a generation there.
+    ///
+    /// # Errors
+    /// Those of [`recover`]; also when nothing can be written.
+    pub fn open(mut layer: L, key: Key) -> io::Result<(Store<L>, Facts, Found)> {
+        let (facts, found) = recover(&mut layer, &key)?;
+        let mut store = Store {
+            layer,
+            chain: Chain::new(0, &key),
+            key,
+            generation: found.newest,
+            journal_bytes: 0,
+            writing: None,
+            snapshots: 0,
+        };
+        store.begin(&facts)?;
+        while store.step(usize::MAX)? {}
+        Ok((store, facts, found))
+    }
+
+    /// Begins a generation: its journal now, its snapshot by [`Store::step`].
+    ///
+    /// # Errors
+    /// Those of the layer; the older generation stands.
+    pub fn begin(&mut self, facts: &Facts) -> io::Result<()> {
+        self.writing = None;
+        let generation = self.generation + 1;
+        let chain = Chain::new(generation, &self.key);
+        let name = name_of(Kind::Journal, generation);
+        self.layer.create(&name)?;
+        // Used up whatever comes of it.
+        self.generation = generation;
+        let head = chain.head(Kind::Journal);
+        self.layer.append(&name, &head)?;
+        self.layer.sync(&name)?;
+        self.layer.sync_names()?;
+        (self.chain, self.journal_bytes) = (chain, head.len() as u64);
+        let servers = facts.servers.values().cloned().map(Change::Server);
+        let levels = facts.levels.iter();
+        let levels = levels.map(|(c, (share, at))| Change::Level(c.clone(), *share, at.clone()));
+        let alive = std::iter::once(Change::Alive(facts.alive.clone()));
+        let chain = Chain::new(generation, &self.key);
+        self.layer.create(ASIDE)?;
+        self.layer.append(ASIDE, &chain.head(Kind::Snapshot))?;
+        self.writing = Some(Writing {
+            changes: servers.chain(levels).chain(alive).collect(),
+            at: 0,
+            chain,
+        });
+        Ok(())
+    }
+
+    pub fn is_writing(&self) -> bool {
+        self.writing.is_some()
+    }
+
+    /// Writes so many records of the snapshot; tells whether more is to do.
+    ///
+    /// # Errors
+    /// Those of the layer; the older generation stands, and the journal goes on.
+    pub fn step(&mut self, many: usize) -> io::Result<bool> {
+        let Some(mut writing) = self.writing.take() else {
+            return Ok(false);
+        };
+        let to = writing.at.saturating_add(many).min(writing.changes.len());
+        let mut out = Vec::new();
+        for change in &writing.changes[writing.at..to] {
+            writing
+                .chain
+                .put(&mut out, &bytes_of(&Record::Change(change.clone()))?);
+        }
+        writing.at = to;
+        let ends = to == writing.changes.len();
+        if ends {
+            writing
+                .chain
+                .put(&mut out, &bytes_of(&Record::End(to as u64))?);
+        }
+        self.layer.append(ASIDE, &out)?;
+        if !ends {
+            self.writing = Some(writing);
+            return Ok(true);
+        }
+        self.layer.sync(ASIDE)?;
+        self.layer
+            .rename(ASIDE, &name_of(Kind::Snapshot, self.generation))?;
+        self.layer.sync_names()?;
+        self.snapshots += 1;
+        // Proven readable before anything older goes.
+        if snapshot(&mut self.layer, self.generation, &self.key)?.is_ok() {
+            for name in self.layer.list()? {
+                if generation_of(&name).is_some_and(|(_, g)| g < self.generation) {
+                    self.layer.remove(&name)?;
+                }
+            }
+        }
+        Ok(false)
+    }
+
+    /// Writes changes to the journal, as a group: after it they outlast a power cut.
+    ///
+    /// # Errors
+    /// Those of the layer. The journal may end in half a record then: a new generation is to be begun.
+    pub fn commit(&mut self, changes: &[Change]) -> io::Result<u64> {
+        let mut out = Vec::new();
+        for change in changes {
+            self.chain
+                .put(&mut out, &bytes_of(&Record::Change(change.clone()))?);
+        }
+        let name = name_of(Kind::Journal, self.generation);
+        self.layer.append(&name, &out)?;
+        self.layer.sync(&name)?;
+        self.journal_bytes += out.len() as u64;
+        Ok(out.len() as u64)
+    }
+}
+
+fn bytes_of(record: &Record) -> io::Result<Vec<u8>> {
+    postcard::to_allocvec(record).map_err(io::Error::other)
+}
--- /dev/null
+++ b/crates/memory/tests/store.rs
@@ -0,0 +1,405 @@
+//! Power cuts, bent bytes, newer and foreign files, full disks: what is read back is a state that was, and
+//! nothing that was committed is lost.
+
+use dahliapoint_control::AdminState;
+use dahliapoint_memory::facts::{Change, Facts, ServerFact, Stamp};
+use dahliapoint_memory::frames::Key;
+use dahliapoint_memory::keeper::Keeper;
+use dahliapoint_memory::layer::{Layer, Plain};
+use dahliapoint_memory::store::{Store, recover};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// What a call did, as a power cut may undo it.
+#[derive(Clone, Debug)]
+enum Undone {
+    Bytes(String, Vec<u8>),
+    /// A new name, with what of its bytes was synced.
+    Create(String, Vec<u8>),
+    Rename(String, String),
+    Remove(String),
+}
+
+#[derive(Default)]
+struct Disk {
+    /// What is seen, and what would outlast a power cut.
+    now: BTreeMap<String, Vec<u8>>,
+    safe: BTreeMap<String, Vec<u8>>,
+    /// Names that are not synced, and bytes that are not.
+    names: Vec<Undone>,
+    bytes: Vec<Undone>,
+    /// Calls until the power goes, or until the disk is full.
+    left: Option<usize>,
+    full: Option<usize>,
+}
+
+/// A directory in memory whose unsynced writes are lost, torn and reordered.
+#[derive(Clone, Default)]
+struct Torn(Arc<Mutex<Disk>>);
+
+impl Torn {
+    fn call<T>(&self, change: impl FnOnce(&mut Disk) -> io::Result<T>) -> io::Result<T> {
+        let mut disk = self.0.lock().unwrap();
+        if let Some(left) = &mut disk.left {
+            if *left == 0 {
+                return Err(io::Error::other("no power"));
+            }
+            *left -= 1;
+        }
+        if let Some(left) = &mut disk.full {
+            if *left == 0 {
+                return Err(io::ErrorKind::StorageFull.into());
+            }
+            *left -= 1;
+        }
+        change(&mut disk)
+    }
+
+    /// The power comes back: of what was not synced any part may be there, chosen by the seed.
+    fn back(&self, seed: u64) -> Torn {
+        let disk = self.0.lock().unwrap();
+        let mut chance = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1;
+        let mut draw = |most: usize| {
+            chance = chance
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1_442_695_040_888_963_407);
+            (chance >> 33) as usize % most.max(1)
+        };
+        let mut files = disk.safe.clone();
+        for undone in disk.names.iter().chain(&disk.bytes) {
+            if draw(2) == 0 {
+                continue;
+            }
+            match undone {
+                Undone::Create(name, bytes) => {
+                    files.insert(name.clone(), bytes.clone());
+                }
+                Undone::Rename(from, to) => {
+                    if let Some(bytes) = files.remove(from) {
+                        files.insert(to.clone(), bytes);
+                    }
+                }
+                Undone::Remove(name) => {
+                    files.remove(name);
+                }
+                Undone::Bytes(name, bytes) => {
+                    // A part of it, or its length with other bytes in it.
+                    let mut part = bytes[..draw(bytes.len() + 1)].to_vec();
+                    if draw(3) == 0 {
+                        let at = draw(part.len());
+                        part.iter_mut().skip(at).for_each(|b| *b = 0);
+                    }
+                    if let Some(file) = files.get_mut(name) {
+                        file.extend(part);
+                    }
+                }
+            }
+        }
+        Torn(Arc::new(Mutex::new(Disk {
+            now: files.clone(),
+            safe: files,
+            ..Disk::default()
+        })))
+    }
+}
+
+fn absent() -> io::Error {
+    io::ErrorKind::NotFound.into()
+}
+
+impl Layer for Torn {
+    fn list(&mut self) -> io::Result<Vec<String>> {
+        self.call(|d| Ok(d.now.keys().cloned().collect()))
+    }
+
+    fn read(&mut self, name: &str, _: u64) -> io::Result<Vec<u8>> {
+        self.call(|d| d.now.get(name).cloned().ok_or_else(absent))
+    }
+
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        self.call(|d| {
+            d.now.insert(name.into(), Vec::new());
+            d.names.push(Undone::Create(name.into(), Vec::new()));
+            Ok(())
+        })
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.call(|d| {
+            d.now.get_mut(name).ok_or_else(absent)?.extend(bytes);
+            d.bytes.push(Undone::Bytes(name.into(), bytes.to_vec()));
+            Ok(())
+        })
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.call(|d| {
+            let whole = d.now.get(name).cloned().ok_or_else(absent)?;
+            // Its bytes are safe; whether its name is is another matter.
+            d.bytes
+                .retain(|u| !matches!(u, Undone::Bytes(n, _) if n == name));
+            let mut named = true;
+            for undone in &mut d.names {
+                match undone {
+                    Undone::Create(n, bytes) if n == name => {
+                        (*bytes, named) = (whole.clone(), false);
+                    }
+                    _ => {}
+                }
+            }
+            if named {
+                d.safe.insert(name.into(), whole);
+            }
+            Ok(())
+        })
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.call(|d| {
+            let bytes = d.now.remove(from).ok_or_else(absent)?;
+            d.now.insert(to.into(), bytes);
+            d.names.push(Undone::Rename(from.into(), to.into()));
+            Ok(())
+        })
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.call(|d| {
+            d.now.remove(name).ok_or_else(absent)?;
+            d.names.push(Undone::Remove(name.into()));
+            Ok(())
+        })
+    }
+
+    fn sync_names(&mut self) -> io::Result<()> {
+        self.call(|d| {
+            for undone in std::mem::take(&mut d.names) {
+                match undone {
+                    Undone::Create(name, bytes) => {
+                        d.safe.insert(name, bytes);
+                    }
+                    Undone::Rename(from, to) => {
+                        if let Some(bytes) = d.safe.remove(&from) {
+                            d.safe.insert(to, bytes);
+                        }
+                    }
+                    Undone::Remove(name) => {
+                        d.safe.remove(&name);
+                    }
+                    Undone::Bytes(..) => {}
+                }
+            }
+            Ok(())
+        })
+    }
+}
+
+fn change(n: u64) -> Change {
+    let at = Stamp {
+        wall_ms: n as f64,
+        ..Stamp::default()
+    };
+    Change::Server(ServerFact {
+        name: format!("s{}", n % 7),
+        address: "127.0.0.1:1".into(),
+        zone: "z".into(),
+        state: AdminState::Ready,
+        since: at.clone(),
+        weight: 1.0,
+        share: 1.0 / (1.0 + n as f64),
+        judged: at,
+        shut: false,
+    })
+}
+
+/// The states after each change of a run; one of each is a moment.
+fn states(many: u64) -> Vec<Facts> {
+    let mut facts = Facts::default();
+    let mut out = vec![facts.clone()];
+    for n in 1..=many {
+        facts.apply(change(n)).unwrap();
+        out.push(facts.clone());
+    }
+    out
+}
+
+fn key() -> Key {
+    Key(Some(b"0123456789abcdef".to_vec()))
+}
+
+/// A scripted run: commits, and a compaction in the midst; how many changes were committed for sure.
+fn run(layer: &Torn, key: &Key, many: u64) -> (u64, u64) {
+    let (mut safe, mut tried) = (0, 0);
+    let Ok((mut store, mut facts, _)) = Store::open(layer.clone(), key.clone()) else {
+        return (0, 0);
+    };
+    for n in 1..=many {
+        tried = n;
+        let _ = facts.apply(change(n));
+        if store.commit(&[change(n)]).is_err() {
+            return (safe, tried);
+        }
+        safe = n;
+        if n % 9 == 4 && store.begin(&facts).is_err() {
+            return (safe, tried);
+        }
+        // Slices in between, so that commits go on during a compaction.
+        if store.step(3).is_err() {
+            return (safe, tried);
+        }
+    }
+    (safe, tried)
+}
+
+#[test]
+fn the_power_may_go_at_any_call() {
+    const MANY: u64 = 24;
+    let states = states(MANY);
+    for key in [Key::default(), key()] {
+        let whole = Torn::default();
+        assert_eq!(run(&whole, &key, MANY), (MANY, MANY));
+        let calls = {
+            let counted = Torn::default();
+            counted.0.lock().unwrap().left = Some(usize::MAX);
+            run(&counted, &key, MANY);
+            usize::MAX - counted.0.lock().unwrap().left.unwrap()
+        };
+        assert!(calls > 60, "{calls} calls");
+        for left in 0..calls {
+            for seed in 0..12 {
+                let layer = Torn::default();
+                layer.0.lock().unwrap().left = Some(left);
+                let (safe, tried) = run(&layer, &key, MANY);
+                let mut back = layer.back(seed);
+                let what = format!("after {left} calls, seed {seed}: {safe} safe of {tried}");
+                let (facts, found) = recover(&mut back, &key).unwrap();
+                let at = states.iter().position(|s| s.servers == facts.servers);
+                let at =
+                    at.unwrap_or_else(|| panic!("{what}: no state that was: {found:?}")) as u64;
+                assert!(
+                    (safe..=tried).contains(&at),
+                    "{what}: state {at}, {found:?}"
+                );
+                // And it goes on from there; killed at once and begun again, twice in a row.
+                for _ in 0..2 {
+                    let (store, again, _) = Store::open(back.clone(), key.clone()).unwrap();
+                    assert_eq!(again.servers, facts.servers, "{what}");
+                    drop(store);
+                    back = back.back(seed + 1);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn bent_and_planted_files_are_not_taken_for_ours() {
+    let layer = Torn::default();
+    run(&layer, &key(), 12);
+    let names = |l: &Torn| -> Vec<String> { l.0.lock().unwrap().now.keys().cloned().collect() };
+    let states = states(12);
+    for name in names(&layer) {
+        let length = layer.0.lock().unwrap().now[&name].len();
+        for at in 0..length {
+            let mut bent = layer.back(0);
+            bent.0.lock().unwrap().now.get_mut(&name).unwrap()[at] ^= 0x10;
+            // Told, or passed over: what is read is a state that was.
+            if let Ok((facts, _)) = recover(&mut bent, &key()) {
+                let was = states.iter().any(|s| s.servers == facts.servers);
+                assert!(was, "{name} bent at {at}: {facts:?}");
+            }
+        }
+    }
+    // Without the key nobody can write what is read with it; and the other way round.
+    let planted = Torn::default();
+    run(&planted, &Key::default(), 3);
+    assert!(recover(&mut planted.clone(), &key()).is_err());
+    assert!(recover(&mut layer.clone(), &Key::default()).is_err());
+    let other = Key(Some(b"another key than it".to_vec()));
+    assert!(
+        recover(&mut layer.clone(), &other).is_err(),
+        "and nothing is thrown away"
+    );
+}
+
+#[test]
+fn a_newer_programs_file_is_refused_and_left_alone() {
+    let layer = Torn::default();
+    run(&layer, &Key::default(), 3);
+    {
+        let mut disk = layer.0.lock().unwrap();
+        disk.now.values_mut().for_each(|bytes| bytes[8] = 9);
+    }
+    let before = layer.0.lock().unwrap().now.clone();
+    let why = Store::open(layer.clone(), Key::default())
+        .err()
+        .unwrap()
+        .to_string();
+    assert!(why.contains("schema 9 is of a newer program"), "{why}");
+    assert_eq!(layer.0.lock().unwrap().now, before);
+}
+
+#[test]
+fn two_processes_do_not_share_a_directory() {
+    let dir = std::env::temp_dir().join(format!("dahliapoint-memory-{}", std::process::id()));
+    let held = Plain::open(&dir).unwrap();
+    let why = Plain::open(&dir).err().unwrap().to_string();
+    assert!(why.contains("held by another process"), "{why}");
+    let (mut store, ..) = Store::open(held, Key::default()).unwrap();
+    store.commit(&[change(1)]).unwrap();
+    drop(store);
+    let (_, facts, found) = Store::open(Plain::open(&dir).unwrap(), Key::default()).unwrap();
+    assert_eq!((facts.servers.len(), found.torn_bytes), (1, 0));
+    std::fs::remove_dir_all(&dir).unwrap();
+}
+
+/// A disk that is full for a while: nothing waits for it, and it is mended from what is known.
+#[test]
+fn a_full_disk_is_mended_and_costs_no_decision() {
+    let layer = Torn::default();
+    let (store, facts, found) = Store::open(layer.clone(), Key::default()).unwrap();
+    let (keeper, thread) = Keeper::start(store, facts, found).unwrap();
+    layer.0.lock().unwrap().full = Some(0);
+    for n in 1..=50 {
+        assert!(keeper.offer(vec![change(n)]));
+    }
+    let end = Instant::now() + Duration::from_secs(20);
+    let until = |what: &str, met: &dyn Fn() -> bool| {
+        while !met() {
+            assert!(Instant::now() < end, "{what}: {}", keeper.view());
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    };
+    until("the fault is told", &|| keeper.view()["fault"].is_string());
+    layer.0.lock().unwrap().full = None;
+    until("it is mended", &|| keeper.view()["fault"].is_null());
+    assert!(keeper.offer(vec![change(51)]));
+    keeper.end();
+    thread.join().unwrap();
+    let (facts, _) = recover(&mut layer.back(3), &Key::default()).unwrap();
+    assert_eq!(facts.servers, states(51).pop().unwrap().servers);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(300))]
+    /// Any bytes under our names: no panic, nothing large is made of them.
+    #[test]
+    fn any_bytes_are_read_without_harm(bytes in proptest::collection::vec(any::<u8>(), 0..300), head in any::<bool>()) {
+        let layer = Torn::default();
+        run(&layer, &Key::default(), 2);
+        {
+            let mut disk = layer.0.lock().unwrap();
+            for file in disk.now.values_mut() {
+                let kept = if head { 24.min(file.len()) } else { 0 };
+                file.truncate(kept);
+                file.extend(&bytes);
+            }
+        }
+        if let Ok((facts, _)) = recover(&mut layer.clone(), &Key::default()) {
+            prop_assert!(facts.servers.len() < 300);
+        }
+    }
+}
--- a/crates/proxy/src/filed.rs
+++ b/crates/proxy/src/filed.rs
@@ -136,20 +136,25 @@
 impl Hand {
     fn live(mut self) {
         let mut beat_at = Instant::now();
-        let mut reported = Instant::now();
+        let (mut reported, mut controller_at) = (Instant::now(), beat_at);
         loop {
             let begun = Instant::now();
             if begun >= beat_at {
                 self.beat(false);
                 beat_at = begun + ms(self.spooled.beat_ms);
             }
-            self.look_for_the_controller();
+            if begun >= controller_at {
+                self.look_for_the_controller();
+                controller_at = begun + ms(self.spooled.beat_ms / 2.0);
+            }
             self.look_for_a_table();
             let every = self.table.as_ref().map(|t| t.report_every_ms);
             let every = every.filter(|e| (10.0..=3.6e6).contains(e));
             if reported.elapsed() >= every.map_or(FIRST_EVERY, ms) && self.own.is_joined() {
                 self.report(reported.elapsed());
                 reported = Instant::now();
+                // A report is a sign of life as well.
+                beat_at = beat_at.max(reported + ms(self.spooled.beat_ms));
             }
             if let Some(how) = self.own.wait(begun + ms(self.spooled.every_ms)) {
                 if how == Over::Goodbye {
--- a/crates/standins/src/day.rs
+++ b/crates/standins/src/day.rs
@@ -105,6 +105,8 @@
     pub roster_late_ms: f64,
     /// How often the controller's estimates are set against what was really tried; 0: never.
     pub watch_ms: f64,
+    /// The controller keeps what it knows over its restarts.
+    pub memory: bool,
     pub events: Vec<Event>,
 }
 
@@ -198,6 +200,7 @@
         bare_ms: at.field("bare").time(100.0..=60_000.0, Some(4_000.0)),
         roster_late_ms,
         watch_ms: at.field("watch_estimates").time(0.0..=60_000.0, Some(0.0)),
+        memory: at.field("memory").flag(Some(false)),
         events,
         deployment,
     };
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -12,10 +12,15 @@
 mod world;
 
 use clap::{Parser, Subcommand, ValueEnum};
+use dahliapoint_control::AdminState;
 use dahliapoint_files::disk::Plain;
 use dahliapoint_files::forms::{FORM, Form, Table, TableLine};
 use dahliapoint_files::publish::Publisher;
 use dahliapoint_files::seal::Keys;
+use dahliapoint_memory::facts::{Change, ServerFact, Stamp};
+use dahliapoint_memory::frames::Key;
+use dahliapoint_memory::layer::Plain as Layer;
+use dahliapoint_memory::store::Store;
 use std::ffi::OsString;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -62,6 +67,9 @@
         /// Other ways for tables to come than the day names; for obedient proxies.
         #[arg(long, value_enum)]
         front: Option<Front>,
+        /// The controller keeps what it knows over its restarts.
+        #[arg(long)]
+        memory: bool,
         /// Keep the day's folder (the controller's logs, its roster) here.
         #[arg(long)]
         keep: Option<PathBuf>,
@@ -94,6 +102,9 @@
         #[arg(long, default_value_t = u64::MAX)]
         many: u64,
     },
+    /// Remembers one number after the other, with snapshots in between, until it is killed.
+    #[command(hide = true)]
+    Remember { dir: PathBuf },
     #[command(hide = true)]
     Sabotaged {
         #[arg(value_enum)]
@@ -133,6 +144,12 @@
                 ExitCode::from(UNPLAYED)
             }
         },
+        Command::Remember { dir } => {
+            if let Err(why) = remember(&dir) {
+                eprintln!("{why}");
+            }
+            ExitCode::from(UNPLAYED)
+        }
         Command::Publish { dir, lines, many } => match publish(dir, lines, many) {
             Ok(()) => ExitCode::SUCCESS,
             Err(why) => {
@@ -157,8 +174,9 @@
             wrong,
             proxies,
             front,
+            memory,
             keep,
-        } => match bad_day(&file, wrong, (proxies, front), keep) {
+        } => match bad_day(&file, wrong, (proxies, front, memory), keep) {
             Ok(report) => {
                 let text = match json {
                     true => format!("{report:#}\n"),
@@ -181,11 +199,12 @@
 fn bad_day(
     file: &std::path::Path,
     wrong: Option<sabotage::Wrong>,
-    (proxies, front): (Option<Kind>, Option<Front>),
+    (proxies, front, memory): (Option<Kind>, Option<Front>, bool),
     keep: Option<PathBuf>,
 ) -> Result<serde_json::Value, String> {
     let mut day = day::load(file)?;
     day.obedient = proxies.map_or(day.obedient, |kind| kind == Kind::Obedient);
+    day.memory |= memory;
     day.front = front.map_or(day.front, |front| match front {
         Front::Streams => day::Fronts::Streams,
         Front::Files => day::Fronts::Files,
@@ -235,7 +254,42 @@
                 .collect(),
             ..Table::default()
         };
-        publisher.publish(&mut disk, table, 0, 600_000)?;
+        publisher.publish(&mut disk, table, 0, 600_000, mark.is_multiple_of(2))?;
+    }
+    Ok(())
+}
+
+/// Each number is told on standard output once it is committed.
+fn remember(dir: &std::path::Path) -> std::io::Result<()> {
+    let (mut store, mut facts, _) = Store::open(Layer::open(dir)?, Key::default())?;
+    let mut out = std::io::stdout().lock();
+    for n in facts.alive.wall_ms as u64 + 1.. {
+        let at = Stamp {
+            wall_ms: n as f64,
+            ..Stamp::default()
+        };
+        let server = ServerFact {
+            name: format!("s{}", n % 7),
+            address: "127.0.0.1:1".into(),
+            zone: "z".into(),
+            state: AdminState::Ready,
+            since: at.clone(),
+            weight: n as f64,
+            share: 1.0,
+            judged: at.clone(),
+            shut: false,
+        };
+        let group = [Change::Server(server), Change::Alive(at)];
+        for change in group.clone() {
+            facts.apply(change).map_err(std::io::Error::other)?;
+        }
+        store.commit(&group)?;
+        writeln!(out, "{n}")?;
+        out.flush()?;
+        if n % 11 == 0 {
+            store.begin(&facts)?;
+        }
+        store.step(3)?;
     }
     Ok(())
 }
--- a/crates/standins/src/play.rs
+++ b/crates/standins/src/play.rs
@@ -363,6 +363,9 @@
     if day.front != Fronts::Streams {
         text.push_str(FILES);
     }
+    if day.memory {
+        text.push_str("\nmemory: {dir: memory}\n");
+    }
     let put = std::fs::write(folder.join("deployment.yaml"), text);
     put.map_err(|e| format!("{}: {e}", folder.display()))?;
     roster.write(&backends)?;
--- a/crates/standins/src/sabotage.rs
+++ b/crates/standins/src/sabotage.rs
@@ -79,7 +79,7 @@
         return Err("no roster".into());
     };
     let first = vec![Input::Roster(entries)];
-    let running = engine.run(seed, terms, None, first, hand);
+    let running = engine.run(seed, terms, None, first, hand, None);
     running.map_err(|e| e.to_string())?;
     std::fs::write(address_file, server.address().to_string()).map_err(|e| e.to_string())?;
     loop {
