The guard stands beside the controller: tables are judged as they leave, dangers told

The judgement was a library that nobody called. The owner now shows it every moment's orders, with what a cold server bears reckoned from what the best warm one of its part carries; dangers go to the log and to status. It refuses nothing yet. `dahliapoint guard explain` judges a table from a file.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -66,6 +66,8 @@
     pub part: Option<usize>,
     pub weight: f64,
     pub shut: bool,
+    /// How long ago it started, if the roster says.
+    pub started_ago_ms: Option<f64>,
     pub estimate: Option<EstimateView>,
     pub by_class: Vec<ClassView>,
 }
@@ -791,6 +793,7 @@
             part: s.part,
             weight: s.weight,
             shut: s.shut,
+            started_ago_ms: s.started.map(|(_, at)| self.now - at),
             estimate: None,
             by_class: Vec::new(),
         }
--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -2,7 +2,7 @@
 
 use crate::deployment::{self, Deployment, LogForm};
 use crate::life::{Daemon, Source};
-use crate::{memory, roster, sample, status};
+use crate::{guarding, memory, roster, sample, status};
 use clap::{Parser, Subcommand};
 use dahliapoint_control::record::{End, bytes_of, replay};
 use dahliapoint_files::forms::Form;
@@ -59,6 +59,11 @@
         #[arg(long, value_enum, default_value = "json")]
         form: Written,
     },
+    /// Judge tables by the guard's rules.
+    Guard {
+        #[command(subcommand)]
+        what: Judge,
+    },
     /// Look into a directory of what a controller knows.
     State {
         #[arg(value_enum)]
@@ -77,6 +82,12 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Judge {
+    /// Say what is dangerous about a table in a file; exit code 1 if something is.
+    Explain { file: PathBuf },
+}
+
 /// What is done with a directory of memory.
 #[derive(Clone, Copy, clap::ValueEnum)]
 enum Look {
@@ -114,6 +125,9 @@
         Command::Check { file } => check(&file),
         Command::Status { at, json } => ask(at, json),
         Command::Export { at, part, form } => export(at, part, form),
+        Command::Guard {
+            what: Judge::Explain { file },
+        } => explain(&file),
         Command::State { what, dir, key } => state(what, &dir, key.as_deref()),
         Command::Replay { file, quiet } => again(&file, quiet),
     };
@@ -214,6 +228,17 @@
     Ok(())
 }
 
+fn explain(file: &Path) -> Done {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|e| wrong(format!("{name}: {e}")))?;
+    let (told, is_safe) = guarding::explain(&name, &text).map_err(wrong)?;
+    let _ = std::io::stdout().write_all(told.as_bytes());
+    match is_safe {
+        true => Ok(()),
+        false => Err((1, format!("{name}: the table is dangerous"))),
+    }
+}
+
 fn state(what: Look, dir: &Path, key: Option<&Path>) -> Done {
     let (facts, found) = match what {
         Look::Show | Look::Verify => memory::read(dir, key).map_err(wrong)?,
--- a/crates/daemon/src/deployment.rs
+++ b/crates/daemon/src/deployment.rs
@@ -51,6 +51,8 @@
     pub files: Option<Files>,
     /// Where what is known is kept over restarts, and the key that it is sealed with.
     pub memory: Option<(PathBuf, Option<PathBuf>)>,
+    /// Tables are judged as they leave; what is dangerous is told.
+    pub guards: bool,
 }
 
 /// The front of files, as a deployment tells it.
@@ -181,6 +183,9 @@
         (dir, key)
     });
 
+    let guard = at.field("guard");
+    let guards = guard.choice(&[("tell", true), ("off", false)], Some(true));
+
     let log = at.field("log");
     let forms = [("text", LogForm::Text), ("json", LogForm::Json)];
     let log_form = log.field("form").choice(&forms, Some(LogForm::Text));
@@ -236,6 +241,7 @@
         stream_patience_ms: patience,
         files,
         memory,
+        guards,
     }
 }
 
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -4,6 +4,7 @@
 //! waits, and are read once a round as background work, in slices. Between two slices the queue comes
 //! first, so a drain waits behind one slice of reports at the most.
 
+use crate::guarding::Guarding;
 use dahliapoint_control::record::{Begin, Recorder};
 use dahliapoint_control::{Controller, Input, MetLine, Output, Report, Session, Terms};
 use dahliapoint_fibers::{Bell, Queue, Received};
@@ -103,6 +104,8 @@
     roster_fault: Arc<Mutex<Option<String>>>,
     figures: Arc<Mutex<Figures>>,
     views: Arc<Mutex<Vec<(&'static str, View)>>>,
+    /// Tables are judged as they leave.
+    pub guards: bool,
 }
 
 /// A part's own words for an overview.
@@ -137,6 +140,8 @@
     lines_before: u64,
     asked: Vec<(Id, Arc<Asked>)>,
     memory: Option<(Arc<Keeper>, Differ)>,
+    /// Judges what leaves, and tells.
+    guarding: Option<Guarding>,
 }
 
 impl Engine {
@@ -150,6 +155,7 @@
             roster_fault: Arc::default(),
             figures: Arc::default(),
             views: Arc::default(),
+            guards: false,
         }
     }
 
@@ -198,6 +204,7 @@
             lines_before: 0,
             asked: Vec::new(),
             memory,
+            guarding: self.guards.then(Guarding::default),
         };
         let engine = self.clone();
         std::thread::Builder::new()
@@ -278,6 +285,11 @@
             figures.deciding_ms += took;
             figures.longest_ms = figures.longest_ms.max(took);
         }
+        if let Some(guarding) = &mut work.guarding {
+            for danger in guarding.look(&work.controller, &outputs) {
+                warn!(target: "guard", "{danger}");
+            }
+        }
         for output in outputs {
             if let Some(Output::Note(note)) = (work.hand)(output) {
                 info!(target: "decisions", "{note}");
@@ -417,6 +429,9 @@
             "longest_round_ms": figures.longest_round_ms,
             "put_off": figures.put_off,
         });
+        if let Some(guarding) = &work.guarding {
+            view["guard"] = guarding.view();
+        }
         for (name, part) in lock(&self.views).iter() {
             view[*name] = part();
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cli;
 pub mod deployment;
 pub mod engine;
+pub mod guarding;
 pub mod life;
 pub mod memory;
 pub mod probe;
--- a/crates/guard/src/lib.rs
+++ b/crates/guard/src/lib.rs
@@ -284,7 +284,26 @@
     }
 }
 
+impl Reason {
+    /// Its code, for logs and people.
+    pub fn code(self) -> &'static str {
+        match self {
+            Reason::Empty => "empty",
+            Reason::NotReady => "not-ready",
+            Reason::Cold => "cold",
+            Reason::OnlyCold => "only-cold",
+            Reason::Heavy => "heavy",
+            Reason::Step => "step",
+        }
+    }
+}
+
 impl Guard {
+    /// Whether a part has a table.
+    pub fn has_table(&self, part: usize) -> bool {
+        self.parts.get(&part).is_some_and(|p| !p.held.is_empty())
+    }
+
     fn server_of(&self, server: usize) -> Server {
         self.servers.get(&server).copied().unwrap_or_default()
     }
--- a/crates/standins/src/play.rs
+++ b/crates/standins/src/play.rs
@@ -477,6 +477,7 @@
         "intake": overview["intake"],
         "files": overview["files"],
         "memory": overview["memory"],
+        "guard": overview["guard"],
     });
     report["kept"] = json!(!world.ledger.is_broken());
     Ok(report)
