--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -14,6 +14,9 @@
 /// times at the most.
 const WITHDRAW_AGAIN: f64 = 0.1;
 const AGAIN: f64 = 1.0;
+/// Withdrawals never wait longer than this share of the grace: a proxy that takes messages again, after
+/// however many refusals, hears of a drain while there is time.
+const WITHDRAW_MOST: f64 = 0.25;
 const DOUBLINGS: u32 = 5;
 /// Lines that are offered again may fill the channel up to this share of what may wait: the planner's
 /// own go first.
@@ -24,6 +27,7 @@
 pub struct Patience {
     silent_ms: f64,
     withdraw_again_ms: f64,
+    withdraw_most_ms: f64,
     again_ms: f64,
     room: f64,
 }
@@ -36,6 +40,7 @@
         Patience {
             silent_ms: (terms.grace_ms * SILENT_GRACES).max(ways).max(drained),
             withdraw_again_ms: terms.grace_ms * WITHDRAW_AGAIN,
+            withdraw_most_ms: terms.grace_ms * WITHDRAW_MOST,
             again_ms: terms.grace_ms * AGAIN,
             room: terms.most_waiting * ROOM,
         }
@@ -72,18 +77,25 @@
         }
     }
 
-    fn again_at(&self, first_ms: f64) -> f64 {
+    fn again_at(&self, first_ms: f64, most_ms: f64) -> f64 {
         let doubled = f64::from(1_u32 << (self.refusals.max(1) - 1).min(DOUBLINGS));
-        self.refused_at + first_ms * doubled
+        self.refused_at + (first_ms * doubled).min(most_ms)
+    }
+
+    fn withdraw_at(&self, p: &Patience) -> f64 {
+        self.again_at(p.withdraw_again_ms, p.withdraw_most_ms)
+    }
+
+    fn offer_at(&self, p: &Patience) -> f64 {
+        self.again_at(p.again_ms, f64::INFINITY)
     }
 
     /// When a rule could next fire, if nothing else happens.
     pub fn alarm(&self, patience: &Patience) -> Option<f64> {
         let silent = self.unanswered_since.map(|at| at + patience.silent_ms);
-        let withdraw = self.owed_withdrawals.then_some(patience.withdraw_again_ms);
-        let again = self.owed_table.then_some(patience.again_ms);
+        let withdraw = self.owed_withdrawals.then(|| self.withdraw_at(patience));
+        let again = self.owed_table.then(|| self.offer_at(patience));
         let owed = [withdraw, again].into_iter().flatten();
-        let owed = owed.map(|first| self.again_at(first));
         owed.chain(silent).reduce(f64::min)
     }
 }
@@ -121,9 +133,11 @@
 
 /// Guards against a drain that is lost because something else in the same message was refused: what
 /// was withdrawn goes out again by itself, at once the first time, then with growing waits. Needs no
-/// room: withdrawals pass. May harm little: a proxy that refuses all costs one small message a wait.
+/// room: withdrawals pass. The waits are bounded: before, a
+/// proxy that had refused for seconds heard of a drain too late. May harm little: a proxy that refuses all
+/// costs one small message a wait.
 fn withdraw_again(m: &mut Member, now: f64, _: f64, p: &Patience) -> Option<Deed> {
-    let due = m.owed_withdrawals && (m.refusals <= 1 || now >= m.again_at(p.withdraw_again_ms));
+    let due = m.owed_withdrawals && (m.refusals <= 1 || now >= m.withdraw_at(p));
     due.then(|| {
         m.owed_withdrawals = false;
         Deed::WithdrawAgain
@@ -133,7 +147,7 @@
 /// Guards against a proxy that stays on an old table for good after one refusal: the whole table is
 /// offered again, after a wait that doubles, while the channel has room.
 fn offer_again(m: &mut Member, now: f64, waiting: f64, p: &Patience) -> Option<Deed> {
-    let due = m.owed_table && now >= m.again_at(p.again_ms) && waiting < p.room;
+    let due = m.owed_table && now >= m.offer_at(p) && waiting < p.room;
     due.then(|| {
         m.owed_table = false;
         Deed::OfferAgain
@@ -147,6 +161,7 @@
     const P: Patience = Patience {
         silent_ms: 1000.0,
         withdraw_again_ms: 10.0,
+        withdraw_most_ms: 25.0,
         again_ms: 100.0,
         room: 50.0,
     };
@@ -193,6 +208,14 @@
                 0.0,
                 Some(Deed::WithdrawAgain),
             ),
+            (
+                "it never waits long",
+                refused(30, true),
+                25.0,
+                0.0,
+                Some(Deed::WithdrawAgain),
+            ),
+            ("but it waits", refused(30, true), 24.0, 0.0, None),
             ("a table waits", refused(1, false), 99.0, 0.0, None),
             (
                 "a table is offered",
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -134,8 +134,10 @@
     let _ = writeln!(out, "channel: {}", overview["accounts"]);
     let _ = writeln!(out, "decisions: {}", overview["deciding"]);
     let _ = writeln!(out, "intake: {}", overview["intake"]);
-    if overview["files"].is_object() {
-        let _ = writeln!(out, "files: {}", overview["files"]);
+    for part in ["files", "memory", "guard"] {
+        if overview[part].is_object() {
+            let _ = writeln!(out, "{part}: {}", overview[part]);
+        }
     }
     out
 }
--- a/crates/guard/src/lib.rs
+++ b/crates/guard/src/lib.rs
@@ -141,7 +141,6 @@
 struct Wanted<'a> {
     guard: &'a Guard,
     part: &'a Part,
-    index: usize,
     next: &'a Table,
     before: &'a Table,
     changed: &'a [Line],
@@ -363,12 +362,10 @@
         let wanted = Wanted {
             guard: self,
             part: held,
-            index: part,
             next: &next,
             before: held.held.last().unwrap_or(&nothing),
             changed,
         };
-        debug_assert_eq!(wanted.index, part);
         RULES.iter().flat_map(|rule| rule(&wanted)).collect()
     }
 
