Files: a disk that hangs lets proxies go instead of holding the owner up

When 65,536 orders waited for the files' thread, the controller's own thread waited for room, and streams with it: a wait without a bound, found on reading the change again. Now an order that does not fit lets its proxy go; it beats again as another session and is told all anew.

--- a/crates/files/src/front.rs
+++ b/crates/files/src/front.rs
@@ -30,7 +30,8 @@
 const REFRESH: usize = 3;
 const SHARES: [f64; 4] = [f64::INFINITY, 0.5, 0.4, 0.1];
 const WAITING: usize = 32 * 1024;
-/// Orders that may wait for the thread; beyond that the controller's own thread waits.
+/// Orders that may wait for the thread. Beyond that a proxy is let go: it beats again as another session
+/// and is told all anew; no decision waits for a disk.
 const ORDERS: usize = 64 * 1024;
 
 /// Where files are, and how they are written.
@@ -51,9 +52,22 @@
 #[derive(Default)]
 struct Orders {
     waiting: Vec<Order>,
+    /// Sessions that an order was lost for.
+    lost: BTreeSet<Session>,
     over: bool,
 }
 
+impl Orders {
+    fn put(&mut self, order: Order) {
+        if self.waiting.len() < ORDERS {
+            self.waiting.push(order);
+            return;
+        }
+        let (Order::Write(session, _) | Order::Close(session, _)) = order;
+        self.lost.insert(session);
+    }
+}
+
 /// See the module's head.
 pub struct Front {
     orders: Mutex<Orders>,
@@ -163,19 +177,16 @@
     /// Takes what concerns proxies of this front; gives back what does not.
     pub fn carry_out(&self, output: Output) -> Option<Output> {
         let mut orders = lock(&self.orders);
-        while orders.waiting.len() >= ORDERS && !orders.over {
-            orders = self.bell.wait(orders).unwrap_or_else(|e| e.into_inner());
-        }
         let rest = match output {
             Output::Write(sessions, message) => {
                 let (ours, others): (Vec<_>, Vec<_>) =
                     sessions.into_iter().partition(|s| *s >= self.first);
                 let ours = ours.into_iter().map(|s| Order::Write(s, message.clone()));
-                orders.waiting.extend(ours);
+                ours.for_each(|order| orders.put(order));
                 (!others.is_empty()).then_some(Output::Write(others, message))
             }
             Output::Close(session, why) if session >= self.first => {
-                orders.waiting.push(Order::Close(session, why));
+                orders.put(Order::Close(session, why));
                 None
             }
             other => Some(other),
@@ -205,7 +216,10 @@
         if orders.over {
             return None;
         }
-        let taken = std::mem::take(&mut orders.waiting);
+        let mut taken = std::mem::take(&mut orders.waiting);
+        let why = "too many orders waited for the disk";
+        let lost = std::mem::take(&mut orders.lost).into_iter();
+        taken.extend(lost.map(|s| Order::Close(s, why.into())));
         drop(orders);
         self.bell.notify_all();
         Some(taken)
@@ -514,3 +528,17 @@
     let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
     Keys::parse(&name, &text)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_does_not_fit_lets_its_proxy_go_and_nobody_waits() {
+        let mut orders = Orders::default();
+        for n in 0..ORDERS as u64 + 3 {
+            orders.put(Order::Close(n % 7, String::new()));
+        }
+        assert_eq!((orders.waiting.len(), orders.lost.len()), (ORDERS, 3));
+    }
+}
