--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -5,6 +5,7 @@
 use crate::presence::{self, Presence};
 use crate::reports::{ClassView, EstimateView, Reports, fault_of};
 use crate::servers::{Servers, Slot};
+use crate::ward::{Channel, Ward, WardView};
 use crate::{AdminState, Entry, FurtherTry, Input, Line, LineState, Message, Output, Report};
 use crate::{Scope, Session, Terms, Way};
 use dahliapoint::rules::Planner;
@@ -53,8 +54,16 @@
     listed: bool,
     serial: u64,
     accounts: Accounts,
+    ward: Ward,
+    /// Something that was ordered did not leave in this moment.
+    held: bool,
+    between: Option<Between>,
 }
 
+/// A hand between the planner and the guard. For tests that spoil orders on purpose: the guard's worth is what it
+/// keeps then.
+pub type Between = Box<dyn FnMut(f64, &mut Orders) + Send>;
+
 /// A server as an operator wants to see it.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct ServerView {
@@ -94,6 +103,7 @@
     pub proxies: Vec<ProxyView>,
     pub ways: Vec<(String, Way)>,
     pub accounts: Accounts,
+    pub guard: WardView,
 }
 
 fn opening(terms: &Terms) -> Opening {
@@ -175,10 +185,18 @@
             listed: false,
             serial: 0,
             accounts: Accounts::default(),
+            ward: Ward::of(&terms),
+            held: false,
+            between: None,
             terms,
         }
     }
 
+    /// Puts a hand between planner and guard.
+    pub fn spoiled_by(&mut self, between: Between) {
+        self.between = Some(between);
+    }
+
     pub fn terms(&self) -> &Terms {
         &self.terms
     }
@@ -187,13 +205,21 @@
     pub fn wake_at(&self) -> f64 {
         let members = self.proxies.values();
         let owed = members.filter_map(|p| p.member.alarm(&self.patience));
-        owed.fold(self.planner_alarm.min(self.presence.wake_at()), f64::min)
+        let alarm = self.planner_alarm.min(self.presence.wake_at());
+        owed.fold(alarm.min(self.ward.wake_at()), f64::min)
     }
 
     /// All that came at one moment, and what is to be done about it.
     pub fn take(&mut self, now: f64, inputs: Vec<Input>) -> Vec<Output> {
         let mut out = Vec::new();
         self.now = now;
+        let news = |i: &Input| {
+            matches!(
+                i,
+                Input::RoundEnds | Input::Roster(_) | Input::RosterChanges(_)
+            )
+        };
+        let learns = inputs.iter().any(news);
         for input in inputs {
             self.note(now, input, &mut out);
         }
@@ -201,7 +227,11 @@
         if self.planner_alarm <= now {
             self.planner_alarm = f64::INFINITY;
         }
-        let orders = self.planner.decide(now);
+        let mut orders = self.planner.decide(now);
+        if let Some(between) = &mut self.between {
+            between(now, &mut orders);
+        }
+        self.guard_learns(now, learns);
         self.carry_out(now, orders, &mut out);
         self.tend_members(now, &mut out);
         let unanswered = self
@@ -533,10 +563,11 @@
         for s in std::mem::take(&mut self.moved) {
             touched.server(self.servers.slots[s].part, s);
         }
-        for (part, s, weight) in orders.lines {
-            let slot = &mut self.servers.slots[s];
-            (slot.part, slot.weight) = (Some(part), weight);
-            touched.server(Some(part), s);
+        let mut asked: BTreeSet<usize> = BTreeSet::new();
+        for (part, s, weight) in &orders.lines {
+            let slot = &mut self.servers.slots[*s];
+            (slot.part, slot.wanted) = (Some(*part), *weight);
+            asked.insert(*part);
         }
         for (part, class, share, tries) in orders.levels {
             let tries = match tries {
@@ -544,11 +575,17 @@
                 Tries::OnProof => FurtherTry::OnProof,
                 Tries::OnFailure => FurtherTry::OnFailure,
             };
+            let tries = self.ward.tries(tries, self.terms.classes[class].repeatable);
             self.ways[class] = Way { share, tries };
             touched.ways.entry(part).or_default().push(class);
         }
         for (s, shut) in orders.withdrawals {
-            self.servers.slots[s].shut = shut;
+            self.servers.slots[s].wants_shut = shut;
+        }
+        let shut = self.ward.shutting(now, &mut self.servers.slots);
+        asked.extend(shut.iter().filter_map(|s| self.servers.slots[*s].part));
+        self.leave(now, &asked, &orders.lines, &mut touched, out);
+        for s in shut {
             touched.server(self.servers.slots[s].part, s);
             touched.standing.push(s);
         }
@@ -560,6 +597,12 @@
             }
         }
         touched.bound = bound;
+        let serial = self.serial + 1;
+        for (part, servers) in &touched.servers {
+            let readers = self.proxies.values().any(|p| p.part == Some(*part));
+            self.ward
+                .sent(*part, &self.servers.slots, servers, serial, readers);
+        }
         self.write_touched(now, touched, orders.mark, out);
         for s in orders.probes {
             let slot = &mut self.servers.slots[s];
@@ -576,6 +619,85 @@
         out.extend(named.map(Output::Note));
     }
 
+    /// What the guard knows is brought up to date.
+    fn guard_learns(&mut self, now: f64, learns: bool) {
+        if self.ward.is_off() {
+            return;
+        }
+        if learns {
+            let rate = |s| {
+                let e = self.reports.view(now, s)?;
+                Some((e.tries_per_s, e.error_per_s, e.failed_share, e.mean_ms))
+            };
+            self.ward.learn(now, &self.servers.slots, rate);
+        }
+        let mut answered: BTreeMap<usize, u64> = BTreeMap::new();
+        for p in self.proxies.values() {
+            if let Some(part) = p.part {
+                // Who refused holds something older, nobody knows what.
+                let upto = match p.member.owed_table {
+                    true => 0,
+                    false => p.outstanding.oldest_serial().map_or(u64::MAX, |s| s - 1),
+                };
+                let all = answered.entry(part).or_insert(u64::MAX);
+                *all = upto.min(*all);
+            }
+        }
+        let parts: Vec<usize> = answered.keys().copied().collect();
+        self.ward.settle(|part| answered[&part], parts.into_iter());
+    }
+
+    /// Lets leave of each part what may, and marks it as touched.
+    fn leave(
+        &mut self,
+        now: f64,
+        asked: &BTreeSet<usize>,
+        ordered: &[(usize, usize, f64)],
+        touched: &mut Touched,
+        out: &mut Vec<Output>,
+    ) {
+        let mut parts = self.ward.due();
+        parts.extend(asked);
+        let span = self.terms.message_span_ms;
+        let by_message = self.terms.writes_by_message;
+        let most = (self.terms.most_messages - self.terms.writes_by_joining) / by_message;
+        let mut channels: BTreeMap<usize, Channel> = BTreeMap::new();
+        let mut waiting = 0.0;
+        for p in self.proxies.values().filter(|_| !parts.is_empty()) {
+            waiting += p.outstanding.lines();
+            if let Some(part) = p.part {
+                let c = channels.entry(part).or_default();
+                c.readers += 1.0;
+                let lately = p.outstanding.lately(now, span) as f64;
+                let limited = self.terms.most_messages > 0.0;
+                let written = if limited { lately / most.max(1.0) } else { 0.0 };
+                c.written = c.written.max(written);
+            }
+        }
+        self.held = false;
+        for part in parts {
+            let mut channel = channels.get(&part).copied().unwrap_or_default();
+            channel.waiting = waiting;
+            let slots = &mut self.servers.slots;
+            let was_asked = asked.contains(&part);
+            let leaves = self.ward.lines(now, part, slots, was_asked, &channel);
+            for (s, weight) in &leaves.lines {
+                slots[*s].weight = *weight;
+            }
+            // What was ordered goes first, in the planner's order; what is no change is no line.
+            let leaving = |s: &usize| leaves.lines.iter().any(|(l, _)| l == s);
+            for (_, s, _) in ordered.iter().filter(|(p, s, _)| *p == part && leaving(s)) {
+                touched.server(Some(part), *s);
+            }
+            leaves
+                .lines
+                .iter()
+                .for_each(|(s, _)| touched.server(Some(part), *s));
+            self.held |= leaves.held;
+            out.extend(leaves.notes.into_iter().map(Output::Note));
+        }
+    }
+
     /// Puts names for the indices in the planner's notes: `server 3 ...`, `zone 1 ...`.
     fn named(&self, note: &str) -> String {
         let mut words = note.splitn(3, ' ');
@@ -690,6 +812,12 @@
     ) {
         let nothing = message.lines.is_empty() && message.ways.is_empty();
         if proxies.is_empty() || nothing && !matches!(message.scope, Scope::Whole(_)) {
+            // The planner waits for an answer to what was held back: it is answered here.
+            if let Some(mark) = mark.filter(|_| self.held) {
+                proxies
+                    .iter()
+                    .for_each(|p| self.planner.orders_applied(*p, mark));
+            }
             return;
         }
         self.serial = self.serial.max(message.serial);
@@ -829,6 +957,7 @@
             proxies: proxies.collect(),
             ways: names.zip(self.ways.iter().copied()).collect(),
             accounts: self.accounts,
+            guard: self.ward.view(),
         }
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,9 +15,10 @@
 pub mod record;
 mod reports;
 mod servers;
+pub mod ward;
 
 pub use accounts::Accounts;
-pub use controller::{Controller, Overview, ProxyView, ServerView};
+pub use controller::{Between, Controller, Overview, ProxyView, ServerView};
 pub use owner::Owner;
 pub use reports::{ClassView, EstimateView, fault_of};
 
@@ -65,6 +66,8 @@
     pub may_probe: bool,
     /// How often a proxy without a stream is to give a sign of life.
     pub beat_ms: f64,
+    /// What is done about tables that are dangerous.
+    pub guard: ward::Guarding,
 }
 
 /// A class of visits.
@@ -73,6 +76,8 @@
     pub name: String,
     pub soft_limit_ms: f64,
     pub earnings: f64,
+    /// Its visits may be tried again after any failure: no effect comes twice by it.
+    pub repeatable: bool,
 }
 
 /// What the roster says of a server.
--- a/crates/control/src/record.rs
+++ b/crates/control/src/record.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use std::io::{self, Read, Write};
 
-const MAGIC: &[u8; 8] = b"dahlia\x00\x02";
+const MAGIC: &[u8; 8] = b"dahlia\x00\x03";
 /// A longer frame is taken for damage.
 const LONGEST: u32 = 256 << 20;
 
--- a/crates/control/src/servers.rs
+++ b/crates/control/src/servers.rs
@@ -14,10 +14,13 @@
     pub listed_weight: f64,
     /// Stamp of its last start, and when that was on our clock.
     pub started: Option<(u64, f64)>,
-    /// Its line, as ordered: the part and the weight there.
+    /// Its line, as it has left: the part and the weight there.
     pub part: Option<usize>,
     pub weight: f64,
     pub shut: bool,
+    /// What is ordered; what has left follows by steps that the guard finds safe.
+    pub wanted: f64,
+    pub wants_shut: bool,
     /// A probe is out.
     pub asked: bool,
     /// Since when it is gone, and the last serial whose message may name it.
@@ -111,6 +114,8 @@
                 part: None,
                 weight: 0.0,
                 shut: false,
+                wanted: 0.0,
+                wants_shut: false,
                 asked: false,
                 gone_since: None,
                 named_in: 0,
@@ -137,7 +142,7 @@
             let slot = &self.slots[index];
             let known = self.by_name.get(&slot.name) == Some(&index);
             let quiet = slot.gone_since.is_some_and(|at| now - at >= after_ms);
-            let unused = slot.weight == 0.0 && slot.shut && !slot.asked;
+            let unused = slot.weight == 0.0 && slot.wanted == 0.0 && slot.shut && !slot.asked;
             if known && quiet && unused && slot.named_in < oldest_unanswered {
                 let (name, address) = (slot.name.clone(), slot.address.clone());
                 self.by_name.remove(&name);
--- a/crates/control/tests/controller.rs
+++ b/crates/control/tests/controller.rs
@@ -14,6 +14,7 @@
         name: name.into(),
         soft_limit_ms: 1000.0,
         earnings,
+        repeatable: false,
     };
     Terms {
         service: "portal".into(),
@@ -41,6 +42,7 @@
         usual_tries: FurtherTry::OnProof,
         may_probe: true,
         beat_ms: 1_000.0,
+        guard: dahliapoint_control::ward::Guarding::Hold,
     }
 }
 
--- a/crates/daemon/src/deployment.rs
+++ b/crates/daemon/src/deployment.rs
@@ -1,6 +1,7 @@
 //! The deployment file: what a controller is told about its service. Read whole and checked whole before
 //! anything starts. docs/operators/running.md lists the fields.
 
+use dahliapoint_control::ward::Guarding;
 use dahliapoint_control::{ClassTerms, FurtherTry, Terms};
 use dahliapoint_files::forms::Form;
 use dahliapoint_files::reach::{Promise, Reach};
@@ -51,8 +52,6 @@
     pub files: Option<Files>,
     /// Where what is known is kept over restarts, and the key that it is sealed with.
     pub memory: Option<(PathBuf, Option<PathBuf>)>,
-    /// Tables are judged as they leave; what is dangerous is told.
-    pub guards: bool,
 }
 
 /// The front of files, as a deployment tells it.
@@ -184,7 +183,12 @@
     });
 
     let guard = at.field("guard");
-    let guards = guard.choice(&[("tell", true), ("off", false)], Some(true));
+    let modes = [
+        ("hold", Guarding::Hold),
+        ("tell", Guarding::Tell),
+        ("off", Guarding::Off),
+    ];
+    let guard = guard.choice(&modes, Some(Guarding::Hold));
 
     let log = at.field("log");
     let forms = [("text", LogForm::Text), ("json", LogForm::Json)];
@@ -226,6 +230,7 @@
             usual_tries,
             may_probe,
             beat_ms: files.as_ref().map_or(0.0, |f| f.beat_ms),
+            guard,
         },
         repeats,
         hard_limits_ms,
@@ -241,7 +246,6 @@
         stream_patience_ms: patience,
         files,
         memory,
-        guards,
     }
 }
 
@@ -310,6 +314,12 @@
                 .wrong(format!("{name:?} is named twice"));
         }
         let soft = place.field("soft_limit").time(1.0..=3.6e6, None);
+        let words = [
+            ("safe", Repeat::Safe),
+            ("keyed", Repeat::Keyed),
+            ("never", Repeat::Never),
+        ];
+        let repeat = place.field("repeat").choice(&words, Some(Repeat::Never));
         let hard = place.field("hard_limit");
         let hard_ms = hard.time(1.0..=3.6e6, Some(soft * 3.0));
         if hard_ms < soft {
@@ -319,15 +329,9 @@
             name,
             soft_limit_ms: soft,
             earnings: place.field("earnings").number(0.001..=1e6, Some(1.0)),
+            repeatable: repeat != Repeat::Never,
         });
-        repeats.push(place.field("repeat").choice(
-            &[
-                ("safe", Repeat::Safe),
-                ("keyed", Repeat::Keyed),
-                ("never", Repeat::Never),
-            ],
-            Some(Repeat::Never),
-        ));
+        repeats.push(repeat);
         limits.push(hard_ms);
         place.close();
     }
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -4,9 +4,8 @@
 //! waits, and are read once a round as background work, in slices. Between two slices the queue comes
 //! first, so a drain waits behind one slice of reports at the most.
 
-use crate::guarding::Guarding;
 use dahliapoint_control::record::{Begin, Recorder};
-use dahliapoint_control::{Controller, Input, MetLine, Output, Report, Session, Terms};
+use dahliapoint_control::{Between, Controller, Input, MetLine, Output, Report, Session, Terms};
 use dahliapoint_fibers::{Bell, Queue, Received};
 use dahliapoint_intake::mouth::{Line, Mouth, Read};
 use dahliapoint_intake::pace::Interval;
@@ -104,8 +103,8 @@
     roster_fault: Arc<Mutex<Option<String>>>,
     figures: Arc<Mutex<Figures>>,
     views: Arc<Mutex<Vec<(&'static str, View)>>>,
-    /// Tables are judged as they leave.
-    pub guards: bool,
+    /// A hand that spoils orders, for tests of the guard.
+    spoiled: Arc<Mutex<Option<Between>>>,
 }
 
 /// A part's own words for an overview.
@@ -140,8 +139,6 @@
     lines_before: u64,
     asked: Vec<(Id, Arc<Asked>)>,
     memory: Option<(Arc<Keeper>, Differ)>,
-    /// Judges what leaves, and tells.
-    guarding: Option<Guarding>,
 }
 
 impl Engine {
@@ -155,10 +152,15 @@
             roster_fault: Arc::default(),
             figures: Arc::default(),
             views: Arc::default(),
-            guards: false,
+            spoiled: Arc::default(),
         }
     }
 
+    /// Puts a hand between planner and guard, before the engine runs.
+    pub fn spoiled_by(&self, between: Between) {
+        *lock(&self.spoiled) = Some(between);
+    }
+
     /// Begins to own a controller: first the inputs given, then what is put in.
     ///
     /// # Errors
@@ -204,8 +206,11 @@
             lines_before: 0,
             asked: Vec::new(),
             memory,
-            guarding: self.guards.then(Guarding::default),
         };
+        let mut work = work;
+        if let Some(between) = lock(&self.spoiled).take() {
+            work.controller.spoiled_by(between);
+        }
         let engine = self.clone();
         std::thread::Builder::new()
             .name("controller".into())
@@ -285,14 +290,12 @@
             figures.deciding_ms += took;
             figures.longest_ms = figures.longest_ms.max(took);
         }
-        if let Some(guarding) = &mut work.guarding {
-            for danger in guarding.look(&work.controller, &outputs) {
-                warn!(target: "guard", "{danger}");
-            }
-        }
         for output in outputs {
             if let Some(Output::Note(note)) = (work.hand)(output) {
-                info!(target: "decisions", "{note}");
+                match note.starts_with("guard:") {
+                    true => warn!(target: "guard", "{note}"),
+                    false => info!(target: "decisions", "{note}"),
+                }
             }
         }
         if roster {
@@ -429,9 +432,6 @@
             "longest_round_ms": figures.longest_round_ms,
             "put_off": figures.put_off,
         });
-        if let Some(guarding) = &work.guarding {
-            view["guard"] = guarding.view();
-        }
         for (name, part) in lock(&self.views).iter() {
             view[*name] = part();
         }
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -87,8 +87,7 @@
             let now = SystemTime::now().duration_since(UNIX_EPOCH);
             now.map_or(1, |d| d.as_nanos() as u64)
         });
-        let mut engine = Engine::new(clock, seed, terms.report_every_ms);
-        engine.guards = deployment.guards;
+        let engine = Engine::new(clock, seed, terms.report_every_ms);
         let shared: Arc<dyn Owner> = Arc::new(engine.clone());
         let shape = Shape::of(&terms, deployment.connect_ms);
         let front = Front::new(shape, shared.clone(), 1);
--- /dev/null
+++ b/crates/guard/benches/judging.rs
@@ -0,0 +1,104 @@
+//! What the guard costs a tick: kept sums against all judged anew, and against a plain judgement that goes
+//! through what every proxy holds.
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use dahliapoint_guard::{Guard, Line, Server, Standing};
+use std::hint::black_box;
+
+/// Servers in all, parts, proxies.
+const SIZES: [(usize, usize, usize); 2] = [(115, 2, 361), (384, 3, 1203)];
+/// Tables of a part under way at once.
+const UNDER_WAY: u64 = 3;
+
+fn server(i: usize) -> Server {
+    Server {
+        standing: Standing::Ready,
+        listed: 1.0 + (i % 3) as f64 / 2.0,
+        falls_at: if i.is_multiple_of(10) {
+            4.0
+        } else {
+            f64::INFINITY
+        },
+    }
+}
+
+fn line(server: usize, weight: f64) -> Line {
+    Line {
+        server,
+        weight,
+        open: true,
+    }
+}
+
+fn table(part: usize, servers: usize, parts: usize, turn: u64) -> Vec<Line> {
+    let all = (0..servers).filter(|s| s % parts == part);
+    let weight = |s: usize| {
+        let cold = if s.is_multiple_of(10) { 0.1 } else { 1.0 };
+        cold * (1.0 + (s as u64 + turn) as f64 % 5.0 / 50.0)
+    };
+    all.map(|s| line(s, weight(s))).collect()
+}
+
+fn fleet(servers: usize, parts: usize) -> Guard {
+    let mut guard = Guard::default();
+    (0..servers).for_each(|s| guard.server(s, Some(s % parts), server(s)));
+    for part in 0..parts {
+        guard.proxies(part, 866.0 / parts as f64);
+        for turn in 0..=UNDER_WAY {
+            guard.sent(part, &table(part, servers, parts, turn), true, turn);
+        }
+    }
+    guard
+}
+
+/// Plain: each proxy's own table is gone through for each cold server.
+fn plainly(tables: &[Vec<Line>], load: f64) -> usize {
+    let mut over = 0;
+    for server in tables[0].iter().filter(|l| l.server.is_multiple_of(10)) {
+        let each = tables.iter().map(|t| {
+            let sum: f64 = t.iter().map(|l| l.weight).sum();
+            let own = t.iter().find(|l| l.server == server.server);
+            load / tables.len() as f64 * own.map_or(0.0, |l| l.weight) / sum
+        });
+        over += usize::from(each.sum::<f64>() > 4.0);
+    }
+    over
+}
+
+fn judging(c: &mut Criterion) {
+    for (servers, parts, proxies) in SIZES {
+        let mut group = c.benchmark_group(format!("{servers} servers, {proxies} proxies"));
+        let guard = fleet(servers, parts);
+        let wanted = table(0, servers, parts, 7);
+        group.bench_function("a tick's changes, kept sums", |b| {
+            b.iter(|| black_box(guard.step(0, &wanted)));
+        });
+        let mut flood = wanted.clone();
+        flood.iter_mut().for_each(|l| l.weight = 1.0);
+        group.bench_function("a dangerous table, and the step in its place", |b| {
+            b.iter(|| black_box(guard.step(0, &flood)));
+        });
+        group.bench_function("all judged anew", |b| {
+            b.iter(|| black_box(fleet(servers, parts).step(0, &wanted)));
+        });
+        let held: Vec<Vec<Line>> = (0..proxies / parts)
+            .map(|p| table(0, servers, parts, p as u64 % 4))
+            .collect();
+        group.bench_function("plainly, by every proxy's table", |b| {
+            b.iter(|| black_box(plainly(&held, 866.0)));
+        });
+        group.bench_function("a table leaves and settles", |b| {
+            let mut guard = guard.clone();
+            let mut serial = 100;
+            b.iter(|| {
+                serial += 1;
+                guard.sent(0, &wanted[..4], false, serial);
+                guard.settled(0, serial);
+            });
+        });
+        group.finish();
+    }
+}
+
+criterion_group!(benches, judging);
+criterion_main!(benches);
--- a/crates/guard/src/lib.rs
+++ b/crates/guard/src/lib.rs
@@ -1,15 +1,21 @@
 //! Judges every table before it leaves, free of I/O, clock and chance.
 //!
 //! How it is called: [`Guard::server`] whenever something about a server changes, [`Guard::proxies`] when
-//! proxies join a part or leave it, [`Guard::wants`] with the lines that a part's next table changes:
-//! it answers with all that is dangerous about them. [`Guard::sent`] when the table leaves, [`Guard::settled`]
-//! when all proxies of the part have applied it. Names end before its door: servers and parts are small
-//! indices; loads are visits a second; all figures are ratios to what the caller tells.
+//! a part's load changes, [`Guard::wants`] with the lines that a part's next table changes: it answers with all
+//! that is dangerous about them. [`Guard::step`] with the whole wanted table answers with what may leave now,
+//! and what is held back for which reason ([`steps`]). [`Guard::sent`] when a table leaves, with its serial,
+//! [`Guard::settled`] when all proxies of the part have answered up to a serial. Names end before its door:
+//! servers and parts are small indices; loads are visits a second; all figures are ratios to what the caller
+//! tells.
 //!
 //! A judgement costs by what changed: what a part holds, its sums, and what each cold server may be brought by
 //! all tables that are in force or under way are kept, not found anew.
 
-use std::collections::{BTreeMap, BTreeSet};
+pub mod bearing;
+pub mod solve;
+pub mod steps;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A cold server may be brought this share of what pushes it over: tables are one cause of load, bursts and
 /// proxies' own choices are others.
@@ -21,6 +27,8 @@
 const STEP: f64 = 0.6;
 /// Shares that differ by less are the same.
 const SLACK: f64 = 1e-9;
+/// Tables of a part that are told apart while they are under way; older ones are kept as the worst of them.
+const APART: usize = 8;
 
 /// What the roster says of a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -61,6 +69,10 @@
     Heavy,
     /// Too much moves in one step that withdraws nobody.
     Step,
+    /// Tries that may repeat an effect were ordered for a class.
+    Repeats,
+    /// The channel has no room for lines that can wait.
+    Channel,
 }
 
 /// What is dangerous, and about which server if it is about one.
@@ -101,30 +113,96 @@
         }
     }
 
+    /// The sum anew: what rounding adds up over many changes is gone.
+    fn tidied(mut self) -> Table {
+        self.sum = self.lines.values().sum();
+        self
+    }
+
     fn share(&self, server: usize) -> f64 {
         match self.sum > 0.0 {
             true => self.lines.get(&server).copied().unwrap_or(0.0) / self.sum,
             false => 0.0,
         }
     }
+
+    fn shares(&self) -> Shares {
+        let share = |(s, w): (&usize, &f64)| (*s, w / self.sum);
+        match self.sum > 0.0 {
+            true => self.lines.iter().map(share).collect(),
+            false => Shares::new(),
+        }
+    }
+}
+
+type Shares = BTreeMap<usize, f64>;
+
+/// A table that some proxies may hold still, or the worst of several: for each server the largest share.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Older {
+    serial: u64,
+    shares: Shares,
 }
 
-/// A part of the shared table: the tables that some proxy may hold, the last one newest, and the load that
-/// its proxies bring together.
+/// A part of the shared table: the newest table, those before it that some proxy may hold, and the load that
+/// its servers are brought together.
 #[derive(Clone, Debug, Default)]
 struct Part {
-    held: Vec<Table>,
+    newest: Option<Table>,
+    serial: u64,
+    older: VecDeque<Older>,
     load: f64,
     /// Servers that the roster deals to it.
     members: BTreeSet<usize>,
 }
 
 impl Part {
+    fn share(&self, server: usize) -> f64 {
+        self.newest.as_ref().map_or(0.0, |t| t.share(server))
+    }
+
     /// The most of its load that any mixture of the tables that may be held brings a server: proxies apply at
     /// different moments, and the worst mixture is that all hold the table that brings it most.
     fn most(&self, server: usize) -> f64 {
-        let shares = self.held.iter().map(|t| t.share(server));
-        self.load * shares.fold(0.0, f64::max)
+        let older = self.older.iter();
+        let older = older.map(|o| o.shares.get(&server).copied().unwrap_or(0.0));
+        self.load * older.fold(self.share(server), f64::max)
+    }
+
+    /// The newest table is one of the older ones from now on. Where there are many, the two oldest become
+    /// one: what it says of a server is the worse of both, so nothing is judged milder.
+    fn put(&mut self, serial: u64, table: Table) {
+        if let Some(before) = self.newest.replace(table) {
+            let shares = before.shares();
+            let serial = self.serial;
+            self.older.push_back(Older { serial, shares });
+        }
+        self.serial = serial;
+        if self.older.len() > APART
+            && let (Some(first), Some(second)) = (self.older.pop_front(), self.older.front_mut())
+        {
+            for (server, share) in first.shares {
+                let worse = second.shares.entry(server).or_default();
+                *worse = worse.max(share);
+            }
+        }
+    }
+
+    /// All that its proxies were sent up to this serial is answered: what is older than the newest of it is
+    /// held by nobody.
+    fn settle(&mut self, serial: u64) {
+        if self.serial <= serial {
+            self.older.clear();
+        }
+        while self.older.get(1).is_some_and(|o| o.serial <= serial) {
+            self.older.pop_front();
+        }
+    }
+
+    fn named(&self) -> BTreeSet<usize> {
+        let newest = self.newest.iter().flat_map(|t| t.lines.keys());
+        let older = self.older.iter().flat_map(|o| o.shares.keys());
+        newest.chain(older).copied().collect()
     }
 }
 
@@ -293,6 +371,8 @@
             Reason::OnlyCold => "only-cold",
             Reason::Heavy => "heavy",
             Reason::Step => "step",
+            Reason::Repeats => "repeats",
+            Reason::Channel => "channel",
         }
     }
 }
@@ -300,7 +380,12 @@
 impl Guard {
     /// Whether a part has a table.
     pub fn has_table(&self, part: usize) -> bool {
-        self.parts.get(&part).is_some_and(|p| !p.held.is_empty())
+        self.parts.get(&part).is_some_and(|p| p.newest.is_some())
+    }
+
+    /// Whether proxies of a part may hold different tables.
+    pub fn is_mixed(&self, part: usize) -> bool {
+        self.parts.get(&part).is_some_and(|p| !p.older.is_empty())
     }
 
     fn server_of(&self, server: usize) -> Server {
@@ -317,20 +402,23 @@
         if let Some(part) = part {
             self.parts.entry(part).or_default().members.insert(server);
         }
-        self.servers.insert(server, now);
-        self.weigh(server);
+        let before = self.servers.insert(server, now);
+        if !now.is_warm() || before.is_some_and(|b| !b.is_warm()) {
+            self.weigh(server);
+        }
     }
 
-    /// The load that the proxies of a part bring together now.
+    /// The load that the servers of a part are brought together now.
     pub fn proxies(&mut self, part: usize, load: f64) {
         self.parts.entry(part).or_default().load = load.max(0.0);
-        let named = self.named(part);
-        named.into_iter().for_each(|s| self.weigh(s));
+        self.weigh_named(part);
     }
 
-    fn named(&self, part: usize) -> BTreeSet<usize> {
-        let held = self.parts.get(&part).into_iter().flat_map(|p| &p.held);
-        held.flat_map(|t| t.lines.keys().copied()).collect()
+    fn weigh_named(&mut self, part: usize) {
+        let named = self.parts.get(&part).map(Part::named);
+        let cold = |s: &usize| !self.server_of(*s).is_warm();
+        let cold: Vec<usize> = named.into_iter().flatten().filter(cold).collect();
+        cold.into_iter().for_each(|s| self.weigh(s));
     }
 
     /// What all parts may bring a server; kept for cold ones alone.
@@ -348,46 +436,50 @@
     fn next(&self, part: &Part, changed: &[Line], whole: bool) -> Table {
         let mut next = match whole {
             true => Table::default(),
-            false => part.held.last().cloned().unwrap_or_default(),
+            false => part.newest.clone().unwrap_or_default(),
         };
         changed.iter().for_each(|l| next.set(l));
-        next
+        next.tidied()
     }
 
     /// All that is dangerous about a part's next table, the gravest first; nothing: it may leave.
     pub fn wants(&self, part: usize, changed: &[Line], whole: bool) -> Vec<Danger> {
-        let (none, nothing) = (Part::default(), Table::default());
+        let none = Part::default();
         let held = self.parts.get(&part).unwrap_or(&none);
         let next = self.next(held, changed, whole);
+        self.judge(held, &next, changed)
+    }
+
+    fn judge(&self, held: &Part, next: &Table, changed: &[Line]) -> Vec<Danger> {
+        let nothing = Table::default();
         let wanted = Wanted {
             guard: self,
             part: held,
-            next: &next,
-            before: held.held.last().unwrap_or(&nothing),
+            next,
+            before: held.newest.as_ref().unwrap_or(&nothing),
             changed,
         };
         RULES.iter().flat_map(|rule| rule(&wanted)).collect()
     }
 
-    /// A table leaves: from now on some proxies may hold it and some what was before.
-    pub fn sent(&mut self, part: usize, changed: &[Line], whole: bool) {
+    /// A table leaves: from now on some proxies may hold it and some what was before. Serials grow.
+    pub fn sent(&mut self, part: usize, changed: &[Line], whole: bool, serial: u64) {
         let mut held = self.parts.remove(&part).unwrap_or_default();
         let next = self.next(&held, changed, whole);
-        held.held.push(next);
+        held.put(serial, next);
         self.parts.insert(part, held);
-        let named = self.named(part);
-        named.into_iter().for_each(|s| self.weigh(s));
+        self.weigh_named(part);
     }
 
-    /// All proxies of a part hold the newest table.
-    pub fn settled(&mut self, part: usize) {
-        let named = self.named(part);
+    /// All proxies of a part have applied what they were sent up to this serial.
+    pub fn settled(&mut self, part: usize, serial: u64) {
+        let named = self.parts.get(&part).map(Part::named).unwrap_or_default();
         if let Some(p) = self.parts.get_mut(&part) {
-            let newest = p.held.pop();
-            p.held.clear();
-            p.held.extend(newest);
+            p.settle(serial);
         }
-        named.into_iter().for_each(|s| self.weigh(s));
+        let cold = named.into_iter().filter(|s| !self.server_of(*s).is_warm());
+        let cold: Vec<usize> = cold.collect();
+        cold.into_iter().for_each(|s| self.weigh(s));
     }
 }
 
@@ -417,7 +509,7 @@
             guard.server(s, Some(0), now);
         }
         guard.proxies(0, 100.0);
-        guard.sent(0, &[line(0, 1.0), line(1, 1.0), line(2, 1.0)], true);
+        guard.sent(0, &[line(0, 1.0), line(1, 1.0), line(2, 1.0)], true, 1);
         guard
     }
 
@@ -458,11 +550,11 @@
             guard.server(s, Some(0), now);
         }
         let lines: Vec<Line> = (0..20).map(|s| line(s, 1.0)).collect();
-        guard.sent(0, &lines, true);
+        guard.sent(0, &lines, true, 1);
         assert_eq!(guard.wants(0, &[line(3, 12.0)], false), [], "a third of it");
         let found = guard.wants(0, &[line(3, 15.0)], false);
         assert_eq!(found.iter().map(|d| d.reason).collect::<Vec<_>>(), [Heavy]);
-        guard.sent(0, &[line(3, 15.0)], false);
+        guard.sent(0, &[line(3, 15.0)], false, 2);
         assert_eq!(
             guard.wants(0, &[line(5, 1.1)], false),
             [],
@@ -475,10 +567,12 @@
         let mut guard = fleet();
         // Another part brings the same cold server load by an old table that some still hold.
         guard.proxies(1, 100.0);
-        guard.sent(1, &[line(0, 0.94), line(3, 0.06)], true);
-        guard.sent(1, &[line(0, 1.0)], true);
+        guard.sent(1, &[line(0, 0.94), line(3, 0.06)], true, 2);
+        guard.sent(1, &[line(0, 1.0)], true, 3);
+        assert_eq!(guard.wants(0, &[line(3, 0.1)], false)[0].reason, Cold);
+        guard.settled(1, 2);
         assert_eq!(guard.wants(0, &[line(3, 0.1)], false)[0].reason, Cold);
-        guard.settled(1);
+        guard.settled(1, 3);
         assert_eq!(guard.wants(0, &[line(3, 0.1)], false), []);
     }
 
--- a/crates/guard/tests/oracle.rs
+++ b/crates/guard/tests/oracle.rs
@@ -160,7 +160,7 @@
 
 /// Goes through a day; each table that is to leave is judged by both.
 fn play(events: &[Event], mut judged: impl FnMut(BTreeSet<Reason>, BTreeSet<Reason>)) {
-    let (mut guard, mut oracle) = (Guard::default(), Oracle::default());
+    let (mut guard, mut oracle, mut serial) = (Guard::default(), Oracle::default(), 0);
     for e in events {
         match e {
             Event::Server(s, now) => {
@@ -176,11 +176,12 @@
                 let found = found.into_iter().map(|d| d.reason).collect();
                 judged(found, oracle.judge(*p, lines, *whole));
                 let next = oracle.next(*p, lines, *whole);
-                guard.sent(*p, lines, *whole);
+                serial += 1;
+                guard.sent(*p, lines, *whole, serial);
                 oracle.held[*p].push(next);
             }
             Event::Settle(p) => {
-                guard.settled(*p);
+                guard.settled(*p, serial);
                 let newest = oracle.held[*p].pop();
                 oracle.held[*p] = newest.into_iter().collect();
             }
--- /dev/null
+++ b/crates/guard/tests/steps.rs
@@ -0,0 +1,367 @@
+//! Steps: what leaves is safe by the rules, a safe table is never touched, the way ends; and by an exhaustive
+//! search over all orders in which proxies apply what they are sent, no cold server is ever pushed over.
+
+use dahliapoint_guard::steps::Step;
+use dahliapoint_guard::{Guard, Line, Reason, Server, Standing};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+
+const SERVERS: usize = 8;
+
+fn open(server: usize, weight: f64) -> Line {
+    Line {
+        server,
+        weight,
+        open: weight > 0.0,
+    }
+}
+
+fn server(falls_at: f64) -> Server {
+    Server {
+        standing: Standing::Ready,
+        listed: 1.0,
+        falls_at,
+    }
+}
+
+fn lines(table: &BTreeMap<usize, f64>) -> Vec<Line> {
+    table.iter().map(|(s, w)| open(*s, *w)).collect()
+}
+
+/// Sends what a step changes.
+fn send(guard: &mut Guard, step: &Step, serial: u64) -> usize {
+    let changes = guard.changes(0, step);
+    let lines: Vec<Line> = changes.iter().map(|(s, w)| open(*s, *w)).collect();
+    guard.sent(0, &lines, false, serial);
+    lines.len()
+}
+
+#[derive(Clone, Debug)]
+struct Fleet {
+    servers: Vec<Server>,
+    load: f64,
+    before: Vec<f64>,
+    wanted: Vec<f64>,
+    later: Vec<(usize, Server)>,
+}
+
+fn fleet() -> impl Strategy<Value = Fleet> {
+    let standing = prop_oneof![
+        6 => Just(Standing::Ready), 1 => Just(Standing::Draining), 1 => Just(Standing::Gone)
+    ];
+    let falls =
+        prop_oneof![3 => Just(f64::INFINITY), 1 => Just(10.0), 1 => Just(40.0), 1 => Just(0.0)];
+    let server = (standing, 1_u8..4, falls).prop_map(|(standing, listed, falls_at)| Server {
+        standing,
+        listed: f64::from(listed),
+        falls_at,
+    });
+    let weight = || prop_oneof![1 => Just(0.0), 1 => Just(0.1), 3 => Just(1.0), 1 => Just(2.0), 1 => Just(10_000.0)];
+    let weights = move || proptest::collection::vec(weight(), SERVERS);
+    let servers = proptest::collection::vec(server.clone(), SERVERS);
+    let later = proptest::collection::vec((0..SERVERS, server), 0..3);
+    (servers, 0.0..200.0, weights(), weights(), later).prop_map(
+        |(servers, load, before, wanted, later)| Fleet {
+            servers,
+            load,
+            before,
+            wanted,
+            later,
+        },
+    )
+}
+
+fn table(weights: &[f64]) -> Vec<Line> {
+    let all = weights.iter().enumerate();
+    all.map(|(s, w)| open(s, *w)).collect()
+}
+
+fn begun(fleet: &Fleet) -> Guard {
+    let mut guard = Guard::default();
+    let all = fleet.servers.iter().enumerate();
+    all.for_each(|(s, now)| guard.server(s, Some(0), *now));
+    guard.proxies(0, fleet.load);
+    guard.sent(0, &table(&fleet.before), true, 1);
+    guard.settled(0, 1);
+    for (s, now) in &fleet.later {
+        guard.server(*s, Some(0), *now);
+    }
+    guard
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 6000, failure_persistence: None, rng_seed: RngSeed::Fixed(9), ..ProptestConfig::default() })]
+    #[test]
+    fn what_leaves_is_safe_and_the_way_ends(fleet in fleet()) {
+        let mut guard = begun(&fleet);
+        let wanted = table(&fleet.wanted);
+        let now = |s: usize| {
+            let later = fleet.later.iter().rev().find(|(l, _)| *l == s);
+            later.map_or(fleet.servers[s], |(_, now)| *now)
+        };
+        let mut last: Option<Step> = None;
+        for round in 0..4 {
+            let step = guard.step(0, &wanted);
+            let leaves = lines(&step.open);
+            let found = guard.wants(0, &leaves, true);
+            let found: BTreeSet<Reason> = found.iter().map(|d| d.reason).filter(|r| *r != Reason::NotReady).collect();
+            let borne: BTreeSet<Reason> = step.borne.iter().map(|d| d.reason).collect();
+            prop_assert!(found.is_subset(&borne), "{:?} leaves with {:?}", step, found);
+            prop_assert!(!borne.contains(&Reason::Empty) && !borne.contains(&Reason::NotReady), "{:?}", step);
+            let somebody = |kind: fn(&Server) -> bool| (0..SERVERS).any(|s| now(s).standing == Standing::Ready && kind(&now(s)));
+            let warm = somebody(|s| s.falls_at == f64::INFINITY);
+            // With a warm server there is always a table that keeps all but one server's share.
+            if warm {
+                prop_assert!(!borne.contains(&Reason::Cold) && !borne.contains(&Reason::OnlyCold), "{:?}", step);
+            }
+            if !step.short {
+                let as_wanted: BTreeMap<usize, f64> = wanted.iter().filter(|l| l.open).map(|l| (l.server, l.weight)).collect();
+                prop_assert_eq!(&step.open, &as_wanted, "a safe table is touched");
+            }
+            if let Some(last) = &last && round >= 3 {
+                let near = |a: &BTreeMap<usize, f64>, b: &BTreeMap<usize, f64>| {
+                    let sum = |t: &BTreeMap<usize, f64>| t.values().sum::<f64>().max(1e-9);
+                    let share = |t: &BTreeMap<usize, f64>, s: usize| t.get(&s).copied().unwrap_or(0.0) / sum(t);
+                    (0..SERVERS).all(|s| (share(a, s) - share(b, s)).abs() < 0.05)
+                };
+                prop_assert!(near(&last.open, &step.open), "after {} steps still moving: {:?} then {:?}", round, last, step);
+            }
+            send(&mut guard, &step, round + 2);
+            guard.settled(0, round + 2);
+            last = Some(step);
+        }
+    }
+}
+
+/// One state of the model: what each proxy has applied, what was sent, what the guard knows, what is wanted.
+#[derive(Clone)]
+struct World {
+    guard: Guard,
+    sent: Vec<BTreeMap<usize, f64>>,
+    applied: Vec<usize>,
+    wish: usize,
+}
+
+struct Model {
+    paces: Vec<f64>,
+    servers: Vec<Server>,
+    wishes: Vec<Vec<Line>>,
+    guarded: bool,
+}
+
+/// What an exploration found.
+#[derive(Default, Debug)]
+struct Found {
+    states: usize,
+    worst: BTreeMap<usize, f64>,
+    /// Longest row of steps without a new wish.
+    ends: usize,
+}
+
+impl Model {
+    fn begin(&self, first: &[Line]) -> World {
+        let mut guard = Guard::default();
+        let all = self.servers.iter().enumerate();
+        all.for_each(|(s, now)| guard.server(s, Some(0), *now));
+        guard.proxies(0, self.paces.iter().sum());
+        guard.sent(0, first, true, 0);
+        let open = first.iter().filter(|l| l.open);
+        World {
+            guard,
+            sent: vec![open.map(|l| (l.server, l.weight)).collect()],
+            applied: vec![0; self.paces.len()],
+            wish: 0,
+        }
+    }
+
+    /// What each server is brought in a state.
+    fn brought(&self, world: &World, server: usize) -> f64 {
+        let each = self.paces.iter().zip(&world.applied).map(|(pace, at)| {
+            let table = &world.sent[*at];
+            let sum: f64 = table.values().sum();
+            pace * table.get(&server).copied().unwrap_or(0.0) / sum
+        });
+        each.sum()
+    }
+
+    fn key(world: &World) -> String {
+        format!("{:?} {:?} {}", world.sent, world.applied, world.wish)
+    }
+
+    /// Goes through every order: any proxy applies its next table, the controller takes a step, the next wish
+    /// comes.
+    fn explore(&self, first: &[Line]) -> Found {
+        let mut found = Found::default();
+        let (mut seen, mut todo) = (HashSet::new(), vec![self.begin(first)]);
+        while let Some(world) = todo.pop() {
+            if !seen.insert(Model::key(&world)) {
+                continue;
+            }
+            found.states += 1;
+            for (s, _) in self.servers.iter().enumerate() {
+                let worst = found.worst.entry(s).or_default();
+                *worst = worst.max(self.brought(&world, s));
+            }
+            found.ends = found.ends.max(world.sent.len());
+            for p in 0..self.paces.len() {
+                if world.applied[p] + 1 < world.sent.len() {
+                    let mut next = world.clone();
+                    next.applied[p] += 1;
+                    let all = next.applied.iter().min().copied().unwrap_or(0);
+                    next.guard.settled(0, all as u64);
+                    todo.push(next);
+                }
+            }
+            if world.wish + 1 < self.wishes.len() {
+                let mut next = world.clone();
+                next.wish += 1;
+                todo.push(next);
+            }
+            let wanted = &self.wishes[world.wish];
+            let step = match self.guarded {
+                true => world.guard.step(0, wanted),
+                false => Step {
+                    open: wanted
+                        .iter()
+                        .filter(|l| l.open)
+                        .map(|l| (l.server, l.weight))
+                        .collect(),
+                    ..Step::default()
+                },
+            };
+            let mut next = world.clone();
+            let serial = next.sent.len() as u64;
+            if !next.guard.changes(0, &step).is_empty() && next.sent.len() < 8 {
+                send(&mut next.guard, &step, serial);
+                next.sent.push(step.open);
+                todo.push(next);
+            }
+        }
+        found
+    }
+}
+
+/// Wishes that would push a cold server over on the way, or at the end: the guard finds another way, whatever
+/// the order in which proxies apply it; without it the same wishes push the server over.
+#[test]
+fn no_order_of_arrivals_pushes_a_cold_server_over() {
+    let w = f64::INFINITY;
+    type Weights<'a> = &'a [f64];
+    let cases: [(&str, Vec<f64>, Weights, Vec<Weights>); 6] = [
+        (
+            "equal weights in a mass restart",
+            vec![w, 10.0, 10.0, 10.0],
+            &[1.0, 0.1, 0.1, 0.1],
+            vec![&[1.0; 4]],
+        ),
+        (
+            "a flood, then sense",
+            vec![w, w, 12.0],
+            &[1.0, 1.0, 0.1],
+            vec![&[1.0, 1.0, 300.0], &[1.0, 1.0, 0.2]],
+        ),
+        (
+            "sense, then a flood",
+            vec![w, w, 12.0],
+            &[1.0, 1.0, 0.1],
+            vec![&[1.0, 1.0, 0.2], &[0.0, 0.0, 1.0]],
+        ),
+        (
+            "one by one to its limit",
+            vec![w, w, 20.0],
+            &[1.0, 1.0, 0.0],
+            vec![&[1.0, 1.0, 0.3], &[1.0, 1.0, 0.6], &[0.2, 0.2, 0.6]],
+        ),
+        (
+            "from one cold one to the other",
+            vec![w, 20.0, 20.0],
+            &[1.0, 0.15, 0.0],
+            vec![&[1.0, 0.0, 0.9], &[1.0, 0.9, 0.0]],
+        ),
+        (
+            "a whole table thrown over",
+            vec![w, w, w, 8.0],
+            &[1.0, 0.0, 0.0, 0.05],
+            vec![&[0.0, 0.0, 1.0, 1.0]],
+        ),
+    ];
+    for (name, falls, first, wishes) in cases {
+        let model = |guarded| Model {
+            paces: vec![50.0, 30.0, 20.0],
+            servers: falls.iter().map(|f| server(*f)).collect(),
+            wishes: wishes.iter().map(|w| table(w)).collect(),
+            guarded,
+        };
+        let over = |found: &Found| {
+            let all = falls.iter().enumerate();
+            all.filter(|(s, f)| found.worst[s] > **f).count()
+        };
+        let found = model(true).explore(&table(first));
+        println!(
+            "{name}: {} states, {} tables at most, worst {:?}",
+            found.states, found.ends, found.worst
+        );
+        assert_eq!(over(&found), 0, "{name}: {found:?}");
+        for (s, falls) in falls.iter().enumerate() {
+            assert!(
+                found.worst[&s] <= 0.8 * falls + 1e-6,
+                "{name}: server {s}: {found:?}"
+            );
+        }
+        assert!(found.ends < 8, "{name}: it does not come to an end");
+        assert!(found.states >= 8, "{name}: {found:?}");
+        let bare = model(false).explore(&table(first));
+        assert!(
+            over(&bare) > 0,
+            "{name}: harmless without the guard: {bare:?}"
+        );
+    }
+}
+
+/// Who has become too heavy for a cold server by others' leaving is put right; the whole fleet cold shares by
+/// what each can take, and that is told.
+#[test]
+fn what_stands_is_put_right_and_the_least_bad_is_told() {
+    let mut guard = Guard::default();
+    (0..3).for_each(|s| guard.server(s, Some(0), server(f64::INFINITY)));
+    guard.server(3, Some(0), server(20.0));
+    guard.proxies(0, 100.0);
+    let all = table(&[1.0, 1.0, 1.0, 0.5]);
+    guard.sent(0, &all, true, 1);
+    guard.settled(0, 1);
+    assert_eq!(
+        guard.step(0, &all).held,
+        [],
+        "between the guard's limit and the fall nothing is stirred"
+    );
+    let gone = Server {
+        standing: Standing::Gone,
+        ..server(f64::INFINITY)
+    };
+    guard.server(0, Some(0), gone);
+    guard.sent(0, &[open(0, 0.0)], false, 2);
+    guard.settled(0, 2);
+    let wanted = table(&[0.0, 1.0, 1.0, 0.5]);
+    guard.proxies(0, 120.0);
+    let step = guard.step(0, &wanted);
+    assert_eq!(
+        step.held.iter().map(|d| d.reason).collect::<Vec<_>>(),
+        [Reason::Cold]
+    );
+    assert_eq!(step.borne, []);
+    let share = step.open[&3] / step.open.values().sum::<f64>();
+    assert!((share - 16.0 / 120.0).abs() < 1e-9, "{share}");
+    assert_eq!(step.open[&1], 1.0, "others stay as they are wanted");
+    // Nobody warm is left: by what each can take, and it is said that this pushes them over.
+    guard.server(1, Some(0), server(10.0));
+    guard.server(2, Some(0), server(20.0));
+    let step = guard.step(0, &table(&[0.0, 1.0, 1.0, 1.0]));
+    let reasons: Vec<Reason> = step.borne.iter().map(|d| d.reason).collect();
+    assert!(reasons.contains(&Reason::Cold), "{step:?}");
+    assert_eq!(step.open.get(&0), None);
+    assert!(
+        (step.open[&2] / step.open[&1] - 2.0).abs() < 1e-9,
+        "{step:?}"
+    );
+}
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -61,6 +61,12 @@
         /// A controller that breaks a rule on purpose.
         #[arg(long, value_enum)]
         wrong: Option<sabotage::Wrong>,
+        /// It is the module that is wrong, before the guard sees what it orders.
+        #[arg(long, requires = "wrong")]
+        in_module: bool,
+        /// What the guard does, instead of what the day's deployment says.
+        #[arg(long, value_parser = ["hold", "tell", "off"])]
+        guard: Option<String>,
         /// Other proxies than the day names.
         #[arg(long, value_enum)]
         proxies: Option<Kind>,
@@ -109,6 +115,8 @@
     Sabotaged {
         #[arg(value_enum)]
         wrong: sabotage::Wrong,
+        #[arg(long)]
+        in_module: bool,
         file: PathBuf,
         #[arg(long)]
         listen: SocketAddr,
@@ -159,11 +167,12 @@
         },
         Command::Sabotaged {
             wrong,
+            in_module,
             file,
             listen,
             address_file,
         } => {
-            if let Err(why) = sabotage::run(wrong, &file, listen, &address_file) {
+            if let Err(why) = sabotage::run((wrong, in_module), &file, listen, &address_file) {
                 eprintln!("{why}");
             }
             ExitCode::from(UNPLAYED)
@@ -172,11 +181,19 @@
             file,
             json,
             wrong,
+            in_module,
+            guard,
             proxies,
             front,
             memory,
             keep,
-        } => match bad_day(&file, wrong, (proxies, front, memory), keep) {
+        } => match bad_day(
+            &file,
+            (wrong, in_module),
+            guard,
+            (proxies, front, memory),
+            keep,
+        ) {
             Ok(report) => {
                 let text = match json {
                     true => format!("{report:#}\n"),
@@ -198,13 +215,17 @@
 
 fn bad_day(
     file: &std::path::Path,
-    wrong: Option<sabotage::Wrong>,
+    (wrong, in_module): (Option<sabotage::Wrong>, bool),
+    guard: Option<String>,
     (proxies, front, memory): (Option<Kind>, Option<Front>, bool),
     keep: Option<PathBuf>,
 ) -> Result<serde_json::Value, String> {
     let mut day = day::load(file)?;
     day.obedient = proxies.map_or(day.obedient, |kind| kind == Kind::Obedient);
     day.memory |= memory;
+    if let Some(guard) = guard {
+        day.deployment_text += &format!("\nguard: {guard}\n");
+    }
     day.front = front.map_or(day.front, |front| match front {
         Front::Streams => day::Fronts::Streams,
         Front::Files => day::Fronts::Files,
@@ -217,7 +238,11 @@
         None => vec!["controller".to_string(), "run".to_string()],
         Some(wrong) => {
             let name = wrong.to_possible_value().map(|v| v.get_name().to_string());
-            vec!["sabotaged".to_string(), name.unwrap_or_default()]
+            let mut arguments = vec!["sabotaged".to_string(), name.unwrap_or_default()];
+            if in_module {
+                arguments.push("--in-module".into());
+            }
+            arguments
         }
     };
     let mut process = play::Process::new(&folder, arguments);
--- a/crates/standins/src/sabotage.rs
+++ b/crates/standins/src/sabotage.rs
@@ -1,13 +1,15 @@
-//! Controllers that break a rule on purpose, so that the checkers can be checked. The true engine and
-//! front, with a hand in between that spoils what is ordered.
+//! Controllers that break a rule on purpose, so that the checkers can be checked: the true engine and front,
+//! with a hand in between that spoils what is ordered. Or the hand is between planner and guard, as if the
+//! module itself were wrong: then the guard is what keeps the rules.
 
+use dahliapoint::{Orders, Tries};
 use dahliapoint_control::{FurtherTry, Input, LineState, Message, Output, Scope};
 use dahliapoint_daemon::deployment;
 use dahliapoint_daemon::engine::{Clock, Engine};
 use dahliapoint_daemon::roster::{Look, Watch};
 use dahliapoint_grpc::{Limits, Server};
 use dahliapoint_xds::{Front, Owner, Shape};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::{Arc, Mutex};
@@ -25,12 +27,12 @@
     FloodsTheChannel,
 }
 
-/// Runs it until it is killed.
+/// Runs it until it is killed; `module`: it is the module that is wrong.
 ///
 /// # Errors
 /// Why it cannot run.
 pub fn run(
-    wrong: Wrong,
+    (wrong, module): (Wrong, bool),
     file: &Path,
     listen: SocketAddr,
     address_file: &Path,
@@ -48,6 +50,11 @@
     let server =
         Server::start(listen, Limits::default(), front.clone()).map_err(|e| e.to_string())?;
     let begun = Instant::now();
+    if module {
+        let mut spoiled = Spoiled::new(wrong, terms.classes.len());
+        engine.spoiled_by(Box::new(move |now, orders| spoiled.spoil(now, orders)));
+    }
+    let wrong = if module { Wrong::Nothing } else { wrong };
     let spoiler = Mutex::new(Spoiler {
         wrong,
         begun,
@@ -95,6 +102,81 @@
     }
 }
 
+/// The module's orders, spoiled before the guard sees them.
+struct Spoiled {
+    wrong: Wrong,
+    classes: usize,
+    begun: Option<f64>,
+    seen: BTreeSet<(usize, usize)>,
+    /// Servers that were withdrawn and have come back, since when.
+    back: BTreeMap<usize, f64>,
+    turn: u32,
+}
+
+impl Spoiled {
+    fn new(wrong: Wrong, classes: usize) -> Spoiled {
+        Spoiled {
+            wrong,
+            classes,
+            begun: None,
+            seen: BTreeSet::new(),
+            back: BTreeMap::new(),
+            turn: 0,
+        }
+    }
+
+    fn spoil(&mut self, now: f64, orders: &mut Orders) {
+        let begun = *self.begun.get_or_insert(now);
+        self.seen.extend(orders.lines.iter().map(|l| (l.0, l.1)));
+        match self.wrong {
+            Wrong::Nothing => {}
+            Wrong::IgnoresDrains => {
+                orders.withdrawals.retain(|(_, shut)| !shut);
+                orders.lines.retain(|l| l.2 > 0.0);
+            }
+            Wrong::FloodsTheCold => {
+                let back = orders.withdrawals.iter().filter(|(_, shut)| !shut);
+                self.back.extend(back.map(|(s, _)| (*s, now)));
+                // So late that no proxy can be excused for not having known.
+                let late = |s: usize| self.back.get(&s).is_some_and(|at| now - at > 500.0);
+                let lines = orders.lines.iter_mut();
+                let flood = lines.filter(|l| l.2 > 0.0 && late(l.1));
+                flood.for_each(|l| l.2 = 300.0);
+                let ordered: BTreeSet<usize> = orders.lines.iter().map(|l| l.1).collect();
+                let more = self
+                    .seen
+                    .iter()
+                    .filter(|(_, s)| late(*s) && !ordered.contains(s));
+                orders.lines.extend(more.map(|(p, s)| (*p, *s, 300.0)));
+            }
+            Wrong::RetriesAll => {
+                let parts: BTreeSet<usize> = orders.binds.iter().map(|b| b.1).collect();
+                for part in parts {
+                    let all = (0..self.classes).map(|c| (part, c, 1.0, Tries::OnFailure));
+                    orders.levels.extend(all);
+                }
+                orders
+                    .levels
+                    .iter_mut()
+                    .for_each(|l| l.3 = Tries::OnFailure);
+            }
+            Wrong::EmptiesTables => {
+                if now - begun > 2_000.0 {
+                    orders.lines = self.seen.iter().map(|(p, s)| (*p, *s, 0.0)).collect();
+                }
+            }
+            Wrong::FloodsTheChannel => {
+                if now - begun > 1_000.0 {
+                    self.turn += 1;
+                    let weight = 1.0 + f64::from(self.turn % 7) / 10.0;
+                    orders.lines = self.seen.iter().map(|(p, s)| (*p, *s, weight)).collect();
+                    orders.wake_at = Some(now + 2.0);
+                }
+            }
+        }
+    }
+}
+
 struct Spoiler {
     wrong: Wrong,
     begun: Instant,
--- a/crates/standins/tests/days.rs
+++ b/crates/standins/tests/days.rs
@@ -172,6 +172,44 @@
     }
 }
 
+/// With a module that is wrong itself, the guard keeps the rules at the sockets; without it the same orders break
+/// them.
+#[test]
+fn the_guard_keeps_the_rules_when_the_module_breaks_them() {
+    let cases = [
+        ("empties-tables", 0, "empty"),
+        ("retries-all", 1, "repeats"),
+        ("ignores-drains", 2, ""),
+        ("floods-the-cold", 3, "cold"),
+        ("floods-the-channel", 4, "channel"),
+    ];
+    let playing: Vec<_> = cases
+        .into_iter()
+        .map(|(wrong, rule, reason)| {
+            std::thread::spawn(move || {
+                let bare = ["--in-module", "--guard", "off"];
+                let bare = play_with("sabotage", Some(wrong), &bare);
+                let held = play_with("sabotage", Some(wrong), &["--in-module"]);
+                (wrong, rule, reason, bare, held)
+            })
+        })
+        .collect();
+    for thread in playing {
+        let (wrong, rule, reason, (code, bare), (held, report)) = thread.join().unwrap();
+        assert_eq!(code, 1, "{wrong} does nothing: {bare:#}");
+        assert!(count(&bare, rule, "broken") > 0, "{wrong}: {bare:#}");
+        assert_eq!(held, 0, "{wrong} was not held: {report:#}");
+        let guard = &report["controller"]["guard"];
+        match reason {
+            "" => assert!(guard["withdrawn"].as_u64() > Some(0), "{wrong}: {guard}"),
+            code => assert!(
+                guard["dangerous"][code].as_u64() > Some(0),
+                "{wrong}: {guard}"
+            ),
+        }
+    }
+}
+
 /// An order that would run an effect twice is not obeyed by the obedient proxy; orders that its rules do
 /// not concern are, and the checkers at the servers' sockets see them.
 #[test]
--- a/crates/xds/tests/protocol.rs
+++ b/crates/xds/tests/protocol.rs
@@ -382,6 +382,7 @@
         name: name.into(),
         soft_limit_ms: 1000.0,
         earnings,
+        repeatable: false,
     };
     Terms {
         service: "portal".into(),
@@ -409,6 +410,7 @@
         usual_tries: FurtherTry::OnProof,
         may_probe: false,
         beat_ms: 1_000.0,
+        guard: dahliapoint_control::ward::Guarding::Hold,
     }
 }
 
