--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -58,8 +58,24 @@
     /// Something that was ordered did not leave in this moment.
     held: bool,
     between: Option<Between>,
+    /// Parts whose tables stay, and until when.
+    pins: BTreeMap<usize, f64>,
 }
 
+/// A line that is about to leave.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Leaving {
+    pub server: Arc<str>,
+    pub weight: f64,
+    pub open: bool,
+    /// Its weight in the table that stands.
+    pub before: f64,
+}
+
+/// Asked before lines of a part leave; true: the table that stands is to stay. Withdrawals, and what the guard
+/// does for servers that fall, pass all the same.
+pub type Gate<'a> = &'a mut dyn FnMut(usize, &[Leaving]) -> bool;
+
 /// A hand between the planner and the guard. For tests that spoil orders on purpose: the guard's worth is what it
 /// keeps then.
 pub type Between = Box<dyn FnMut(f64, &mut Orders) + Send>;
@@ -188,6 +204,7 @@
             ward: Ward::of(&terms),
             held: false,
             between: None,
+            pins: BTreeMap::new(),
             terms,
         }
     }
@@ -211,6 +228,12 @@
 
     /// All that came at one moment, and what is to be done about it.
     pub fn take(&mut self, now: f64, inputs: Vec<Input>) -> Vec<Output> {
+        self.take_gated(now, inputs, &mut |_, _| false)
+    }
+
+    /// The same, with a gate that is asked before lines leave. To be played again the same way, what it held is
+    /// written down behind the moment ([`Input::Gated`]).
+    pub fn take_gated(&mut self, now: f64, inputs: Vec<Input>, gate: Gate) -> Vec<Output> {
         let mut out = Vec::new();
         self.now = now;
         let news = |i: &Input| {
@@ -232,7 +255,7 @@
             between(now, &mut orders);
         }
         self.guard_learns(now, learns);
-        self.carry_out(now, orders, &mut out);
+        self.carry_out(now, orders, gate, &mut out);
         self.tend_members(now, &mut out);
         let unanswered = self
             .proxies
@@ -282,6 +305,11 @@
             Input::Refused(session, serial, why) => self.refused(now, session, serial, why, out),
             Input::Reported(proxy, report) => self.reported(now, &proxy, &report),
             Input::RoundEnds => self.end_round(now, out),
+            Input::Pinned(parts) => {
+                self.pins = parts.into_iter().map(|(p, ms)| (p, now + ms)).collect();
+                self.ward.look_again(now);
+            }
+            Input::Gated(_) => {}
             Input::Probed {
                 server,
                 fine,
@@ -558,7 +586,7 @@
         }
     }
 
-    fn carry_out(&mut self, now: f64, orders: Orders, out: &mut Vec<Output>) {
+    fn carry_out(&mut self, now: f64, orders: Orders, gate: Gate, out: &mut Vec<Output>) {
         let mut touched = Touched::default();
         for s in std::mem::take(&mut self.moved) {
             touched.server(self.servers.slots[s].part, s);
@@ -584,7 +612,7 @@
         }
         let shut = self.ward.shutting(now, &mut self.servers.slots);
         asked.extend(shut.iter().filter_map(|s| self.servers.slots[*s].part));
-        self.leave(now, &asked, &orders.lines, &mut touched, out);
+        self.leave(now, &asked, &orders.lines, (&mut touched, gate), out);
         for s in shut {
             touched.server(self.servers.slots[s].part, s);
             touched.standing.push(s);
@@ -653,7 +681,7 @@
         now: f64,
         asked: &BTreeSet<usize>,
         ordered: &[(usize, usize, f64)],
-        touched: &mut Touched,
+        (touched, gate): (&mut Touched, Gate),
         out: &mut Vec<Output>,
     ) {
         let mut parts = self.ward.due();
@@ -680,7 +708,21 @@
             channel.waiting = waiting;
             let slots = &mut self.servers.slots;
             let was_asked = asked.contains(&part);
-            let leaves = self.ward.lines(now, part, slots, was_asked, &channel);
+            let mut leaves = self.ward.lines(now, part, slots, was_asked, &channel);
+            let pinned = self.pins.get(&part).is_some_and(|until| now < *until);
+            let stands = slots.iter().any(|s| s.part == Some(part) && s.weight > 0.0);
+            if stands && !leaves.urgent && !leaves.lines.is_empty() {
+                let leaving = |(s, weight): &(usize, f64)| Leaving {
+                    server: slots[*s].name.clone(),
+                    weight: *weight,
+                    open: !slots[*s].shut && *weight > 0.0,
+                    before: slots[*s].weight,
+                };
+                let asked: Vec<Leaving> = leaves.lines.iter().map(leaving).collect();
+                if pinned || gate(part, &asked) {
+                    self.ward.stays(now, part, slots, &mut leaves);
+                }
+            }
             for (s, weight) in &leaves.lines {
                 slots[*s].weight = *weight;
             }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod ward;
 
 pub use accounts::Accounts;
-pub use controller::{Between, Controller, Overview, ProxyView, ServerView};
+pub use controller::{Between, Controller, Gate, Leaving, Overview, ProxyView, ServerView};
 pub use owner::Owner;
 pub use reports::{ClassView, EstimateView, fault_of};
 
@@ -170,6 +170,10 @@
     },
     /// A proxy without a stream leaves by its own word.
     Goodbye(Session),
+    /// Parts whose tables are to stay as they are for so long, all that there are; withdrawals pass.
+    Pinned(Vec<(usize, f64)>),
+    /// In records only: parts whose lines a gate held back in the moment just before.
+    Gated(Vec<usize>),
 }
 
 /// How a line stands in a table.
--- a/crates/control/src/record.rs
+++ b/crates/control/src/record.rs
@@ -149,14 +149,24 @@
         .next()
         .map_err(|end| format!("the record does not begin: {end:?}"))?;
     let mut controller = Controller::begun(begin.now, begin.seed, begin.terms);
+    let mut frame = frames.next::<(f64, Vec<Input>)>();
     loop {
-        match frames.next::<(f64, Vec<Input>)>() {
-            Ok((now, inputs)) => {
-                let outputs = controller.take(now, inputs);
-                each(now, &outputs);
-            }
+        let (now, inputs) = match frame {
+            Ok(moment) => moment,
             Err(end) => return Ok((controller, end)),
+        };
+        // What a gate held is written behind the moment that it was asked in.
+        let mut next = frames.next::<(f64, Vec<Input>)>();
+        let mut held = Vec::new();
+        if let Ok((_, behind)) = &next
+            && let [Input::Gated(parts)] = behind.as_slice()
+        {
+            held = parts.clone();
+            next = frames.next();
         }
+        let outputs = controller.take_gated(now, inputs, &mut |part, _| held.contains(&part));
+        each(now, &outputs);
+        frame = next;
     }
 }
 
--- a/crates/control/src/ward.rs
+++ b/crates/control/src/ward.rs
@@ -125,6 +125,8 @@
     pub lines: Vec<(usize, f64)>,
     /// Something that is wanted does not leave now.
     pub held: bool,
+    /// A cold server falls by what stands: no pin holds this back.
+    pub urgent: bool,
     pub notes: Vec<String>,
 }
 
@@ -384,6 +386,7 @@
         if full {
             self.count(Reason::Channel);
         }
+        out.urgent = step.held.iter().any(|d| d.reason == Reason::Cold) && !asked;
         out.held = step.short || (quiet && waits);
         match out.held {
             true => {
@@ -406,6 +409,23 @@
         out
     }
 
+    /// The table that stands is to stay: of what may leave only what concerns servers that are not ready does.
+    pub fn stays(&mut self, now: f64, part: usize, slots: &[Slot], leaves: &mut Leaves) {
+        let before = leaves.lines.len();
+        leaves
+            .lines
+            .retain(|(s, _)| slots[*s].shut || slots[*s].state != AdminState::Ready);
+        if leaves.lines.len() < before {
+            leaves.held = true;
+            self.unfinished.insert(part, now + self.pace_ms);
+        }
+    }
+
+    /// Whatever waits is looked at again now.
+    pub fn look_again(&mut self, now: f64) {
+        self.unfinished.values_mut().for_each(|at| *at = now);
+    }
+
     /// What leaves of a part, with the lines as they stand then; `readers` are those who will hold it.
     pub fn sent(
         &mut self,
--- a/crates/guard/src/steps.rs
+++ b/crates/guard/src/steps.rs
@@ -37,6 +37,8 @@
     part: &'a Part,
     before: &'a Table,
     table: Table,
+    /// Listed weight of the part's ready servers.
+    listed: f64,
 }
 
 type Rule = fn(&mut Draft);
@@ -213,9 +215,7 @@
     }
 
     fn heavy_cap(&self, server: usize) -> f64 {
-        let ready = self.part.members.iter().filter(|s| self.is_ready(**s));
-        let listed: f64 = ready.map(|s| self.guard.server_of(*s).listed).sum();
-        let part = self.guard.server_of(server).listed / listed.max(SLACK);
+        let part = self.guard.server_of(server).listed / self.listed.max(SLACK);
         let most = (HEAVIER * part).max(HEAVY);
         most.max(self.before.share(server)).min(1.0)
     }
@@ -272,11 +272,15 @@
                 ..Step::default()
             };
         }
+        let ready = held.members.iter().map(|s| self.server_of(*s));
+        let ready = ready.filter(|s| s.standing == Standing::Ready);
+        let listed = ready.map(|s| s.listed).sum();
         let mut draft = Draft {
             guard: self,
             part: held,
             before,
             table,
+            listed,
         };
         for rule in RULES {
             rule(&mut draft);
--- a/crates/memory/src/facts.rs
+++ b/crates/memory/src/facts.rs
@@ -10,6 +10,7 @@
 const RENEW_MS: f64 = 10_000.0;
 /// Longer names are none of ours.
 const LONGEST: usize = 4_096;
+const LARGEST_KEPT: usize = 512 * 1024;
 
 /// A moment, told so that another process can say how long ago it was.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -59,6 +60,8 @@
     Level(String, f64, Stamp),
     /// The controller lives at this moment.
     Alive(Stamp),
+    /// What a hook keeps: its file and name, and the value as text. Since schema 2.
+    Kept(String, String, String),
 }
 
 /// All that is known.
@@ -68,6 +71,8 @@
     pub levels: BTreeMap<String, (f64, Stamp)>,
     /// When the controller was last known to live.
     pub alive: Stamp,
+    /// By file and name.
+    pub kept: BTreeMap<(String, String), String>,
 }
 
 impl Facts {
@@ -93,6 +98,15 @@
                 self.levels.insert(class, (share, at));
             }
             Change::Alive(at) => self.alive = at,
+            Change::Kept(file, name, value) => {
+                if file.len() > LONGEST || name.len() > LONGEST || value.len() > LARGEST_KEPT {
+                    return Err("more than any hook keeps".into());
+                }
+                match value.is_empty() {
+                    true => self.kept.remove(&(file, name)),
+                    false => self.kept.insert((file, name), value),
+                };
+            }
         }
         Ok(())
     }
--- a/crates/memory/src/frames.rs
+++ b/crates/memory/src/frames.rs
@@ -8,8 +8,8 @@
 use sha2::Sha256;
 
 const MAGIC: &[u8; 8] = b"dahlmem\0";
-/// The version that is written. Older ones are read.
-pub const SCHEMA: u8 = 1;
+/// The version that is written. Older ones are read: 1 knew nothing of what hooks keep.
+pub const SCHEMA: u8 = 2;
 const HEAD: usize = 24;
 /// A longer frame is taken for damage.
 const LONGEST: usize = 1 << 20;
--- a/crates/memory/src/store.rs
+++ b/crates/memory/src/store.rs
@@ -227,7 +227,9 @@
         let servers = facts.servers.values().cloned().map(Change::Server);
         let levels = facts.levels.iter();
         let levels = levels.map(|(c, (share, at))| Change::Level(c.clone(), *share, at.clone()));
-        let alive = std::iter::once(Change::Alive(facts.alive.clone()));
+        let kept = facts.kept.iter();
+        let kept = kept.map(|((f, n), v)| Change::Kept(f.clone(), n.clone(), v.clone()));
+        let alive = std::iter::once(Change::Alive(facts.alive.clone())).chain(kept);
         let chain = Chain::new(generation, &self.key);
         self.layer.create(ASIDE)?;
         self.layer.append(ASIDE, &chain.head(Kind::Snapshot))?;
--- a/crates/memory/tests/store.rs
+++ b/crates/memory/tests/store.rs
@@ -343,6 +343,33 @@
     assert_eq!(layer.0.lock().unwrap().now, before);
 }
 
+/// Files of schema 1 are read, and what is written from then on, as hooks' own values, comes back with it.
+#[test]
+fn an_older_programs_file_is_read_and_gone_on_from() {
+    let layer = Torn::default();
+    run(&layer, &Key::default(), 3);
+    {
+        let mut disk = layer.0.lock().unwrap();
+        disk.now.values_mut().for_each(|bytes| bytes[8] = 1);
+    }
+    let (before, _) = recover(&mut layer.clone(), &Key::default()).unwrap();
+    assert!(!before.servers.is_empty() && before.kept.is_empty());
+    let kept = |value: &str| Change::Kept("night.hook".into(), "seen".into(), value.into());
+    let (mut store, facts, _) = Store::open(layer.clone(), Key::default()).unwrap();
+    store.commit(&[kept("1"), kept("2")]).unwrap();
+    drop(store);
+    let (mut store, mut facts_again, _) = Store::open(layer.clone(), Key::default()).unwrap();
+    assert_eq!(facts.servers, facts_again.servers);
+    let name = ("night.hook".to_string(), "seen".to_string());
+    assert_eq!(facts_again.kept.get(&name).map(String::as_str), Some("2"));
+    facts_again.apply(kept("")).unwrap();
+    store.begin(&facts_again).unwrap();
+    while store.step(1).unwrap() {}
+    drop(store);
+    let (facts, _) = recover(&mut layer.clone(), &Key::default()).unwrap();
+    assert!(facts.kept.is_empty(), "an empty value is none");
+}
+
 #[test]
 fn two_processes_do_not_share_a_directory() {
     let dir = std::env::temp_dir().join(format!("dahliapoint-memory-{}", std::process::id()));
