Hooks live in the daemon: a thread of their own, a gate, wishes in the roster, tests

Operators must mark servers, hold weights and raise alerts on a night without a rebuild, and nothing that a hook does may hold decisions up. Hooks run on a thread that is fed by pictures of the world and works by the scheduler; those before a publication run on the owner's thread within 2 ms in all, each with its part of what is left.

--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -2,7 +2,7 @@
 
 use crate::deployment::{self, Deployment, LogForm};
 use crate::life::{Daemon, Source};
-use crate::{guarding, memory, roster, sample, status};
+use crate::{guarding, hooking, hooks, memory, roster, sample, status};
 use clap::{Parser, Subcommand};
 use dahliapoint_control::record::{End, bytes_of, replay};
 use dahliapoint_files::forms::Form;
@@ -25,6 +25,31 @@
     command: Command,
 }
 
+#[derive(Subcommand)]
+enum HookWork {
+    /// Tell all that is wrong with files.
+    Check {
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
+    /// Put files into their one form.
+    Fmt {
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// Only tell which are not in it.
+        #[arg(long)]
+        check: bool,
+    },
+    /// Run a file's hooks on a written night, and tell what they wish.
+    Run { file: PathBuf, night: PathBuf },
+    /// Run files' hooks on the nights beside them (night.hook: night.test.yaml); exit code 1 if one comes out
+    /// otherwise than it says.
+    Test {
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Run a controller; without a file, the embedded sample on loopback.
@@ -59,6 +84,11 @@
         #[arg(long, value_enum, default_value = "json")]
         form: Written,
     },
+    /// Check, format, run and test hooks.
+    Hook {
+        #[command(subcommand)]
+        what: HookWork,
+    },
     /// Judge tables by the guard's rules.
     Guard {
         #[command(subcommand)]
@@ -125,6 +155,7 @@
         Command::Check { file } => check(&file),
         Command::Status { at, json } => ask(at, json),
         Command::Export { at, part, form } => export(at, part, form),
+        Command::Hook { what } => hook(what),
         Command::Guard {
             what: Judge::Explain { file },
         } => explain(&file),
@@ -206,6 +237,10 @@
     let text = std::fs::read_to_string(path).map_err(|e| wrong(format!("{name}: {e}")))?;
     let zones = &deployment.terms.zones;
     let entries = roster::parse(&name, &text, zones, roster::wall_ms()).map_err(wrong)?;
+    if let Some(place) = &deployment.hooks {
+        let set = hooking::load(&place.dir).map_err(|f| wrong(f.trim_end()))?;
+        println!("{}: {} files of hooks", place.dir.display(), set.len());
+    }
     println!(
         "{}: service {}, {} classes, {} zones, {} servers",
         file.display(),
@@ -228,6 +263,67 @@
     Ok(())
 }
 
+fn hook(what: HookWork) -> Done {
+    let say = |text: &str| {
+        // A reader that has gone away is no fault of ours.
+        let _ = std::io::stdout().write_all(text.as_bytes());
+    };
+    match what {
+        HookWork::Check { files } => {
+            let all: Vec<_> = files.iter().map(|f| hooks::check(f)).collect();
+            all.iter().flatten().for_each(|told| say(told));
+            let faults: Vec<String> = all.into_iter().filter_map(Result::err).collect();
+            if faults.is_empty() {
+                Ok(())
+            } else {
+                Err(wrong(faults.concat().trim_end()))
+            }
+        }
+        HookWork::Fmt { files, check } => {
+            let mut other = Vec::new();
+            for file in &files {
+                let (before, after) = hooks::format(file).map_err(|f| wrong(f.trim_end()))?;
+                if before == after {
+                    continue;
+                }
+                other.push(file.display().to_string());
+                if !check {
+                    let aside = file.with_extension("hook.new");
+                    let put =
+                        std::fs::write(&aside, after).and_then(|()| std::fs::rename(&aside, file));
+                    put.map_err(|e| (1, format!("{}: {e}", file.display())))?;
+                }
+            }
+            match check && !other.is_empty() {
+                true => Err((1, format!("not in their form: {}", other.join(", ")))),
+                false => Ok(()),
+            }
+        }
+        HookWork::Run { file, night } => {
+            let (told, _) = hooks::play(&file, &night).map_err(|f| wrong(f.trim_end()))?;
+            say(&told);
+            Ok(())
+        }
+        HookWork::Test { files } => {
+            let mut failed = 0;
+            for file in &files {
+                let night = file.with_extension("test.yaml");
+                let (told, otherwise) =
+                    hooks::play(file, &night).map_err(|f| wrong(f.trim_end()))?;
+                match otherwise {
+                    0 => say(&format!("{}: as wanted\n", file.display())),
+                    _ => say(&told),
+                }
+                failed += otherwise;
+            }
+            match failed {
+                0 => Ok(()),
+                n => Err((1, format!("{n} steps came out otherwise than wanted"))),
+            }
+        }
+    }
+}
+
 fn explain(file: &Path) -> Done {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file).map_err(|e| wrong(format!("{name}: {e}")))?;
--- a/crates/daemon/src/deployment.rs
+++ b/crates/daemon/src/deployment.rs
@@ -1,16 +1,22 @@
 //! The deployment file: what a controller is told about its service. Read whole and checked whole before
 //! anything starts. docs/operators/running.md lists the fields.
 
+use crate::hooking::HooksPlace;
 use dahliapoint_control::ward::Guarding;
 use dahliapoint_control::{ClassTerms, FurtherTry, Terms};
 use dahliapoint_files::forms::Form;
 use dahliapoint_files::reach::{Promise, Reach};
+use dahliapoint_hooks::host::Bounds;
+use dahliapoint_hooks::run::Allowance;
 use dahliapoint_xds::{RESPONSES_BY_JOINING, RESPONSES_BY_MESSAGE};
 use dahliapoint_yaml::{At, Faults, read};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+/// A roster waits for hooks no longer than this share of the drains' grace.
+const HOOKS_GRACE: f64 = 0.1;
+
 /// What a repeated visit of a class may do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeat {
@@ -52,6 +58,8 @@
     pub files: Option<Files>,
     /// Where what is known is kept over restarts, and the key that it is sealed with.
     pub memory: Option<(PathBuf, Option<PathBuf>)>,
+    /// Where hooks are, and what they may use.
+    pub hooks: Option<HooksPlace>,
 }
 
 /// The front of files, as a deployment tells it.
@@ -182,6 +190,11 @@
         (dir, key)
     });
 
+    let hooks = at.field("hooks");
+    let hooks = hooks
+        .is_there()
+        .then(|| self::hooks(&hooks, folder, grace_ms));
+
     let guard = at.field("guard");
     let modes = [
         ("hold", Guarding::Hold),
@@ -246,9 +259,50 @@
         stream_patience_ms: patience,
         files,
         memory,
+        hooks,
     }
 }
 
+/// Hooks: what all of them may use is bounded by the grace, since a roster waits for them.
+fn hooks(at: &At, folder: &Path, grace_ms: f64) -> HooksPlace {
+    let usual = Bounds::default();
+    let run = at.field("run");
+    let run_ms = run.time(1.0..=1_000.0, Some(20.0));
+    let publication_ms = at.field("publication").time(0.1..=50.0, Some(2.0));
+    let roster = at.field("roster");
+    let roster_ms = roster.time(1.0..=1_000.0, Some(50.0));
+    // A roster waits for the run at hand, then for the hooks that see it.
+    if run_ms + roster_ms > grace_ms * HOOKS_GRACE {
+        let most = grace_ms * HOOKS_GRACE;
+        roster.wrong(format!(
+            "run and roster together are at most {most} ms: a tenth of the drains' grace"
+        ));
+    }
+    let allowance = Allowance {
+        steps: at
+            .field("steps")
+            .number(100.0..=1e9, Some(usual.allowance.steps as f64)) as u64,
+        bytes: at.field("memory_kib").number(16.0..=1e6, Some(4096.0)) as usize * 1024,
+        ..usual.allowance
+    };
+    let wishes = at
+        .field("wishes_a_minute")
+        .number(1.0..=1e6, Some(usual.wishes_a_minute as f64));
+    let place = HooksPlace {
+        dir: folder.join(at.field("dir").text(None)),
+        bounds: Bounds {
+            allowance,
+            wishes_a_minute: wishes as usize,
+        },
+        run_ms,
+        publication_ms,
+        roster_ms,
+        every_ms: at.field("every").time(10.0..=600_000.0, Some(500.0)),
+    };
+    at.close();
+    place
+}
+
 /// The front of files.
 fn files(at: &At, folder: &Path, grace_ms: f64) -> Files {
     let forms = at.field("forms");
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -4,9 +4,13 @@
 //! waits, and are read once a round as background work, in slices. Between two slices the queue comes
 //! first, so a drain waits behind one slice of reports at the most.
 
+use crate::hooking::Hooking;
 use dahliapoint_control::record::{Begin, Recorder};
-use dahliapoint_control::{Between, Controller, Input, MetLine, Output, Report, Session, Terms};
+use dahliapoint_control::{
+    Between, Controller, Input, LineState, MetLine, Output, Report, Scope, Session, Terms,
+};
 use dahliapoint_fibers::{Bell, Queue, Received};
+use dahliapoint_hooks::value::{LineSeen, World};
 use dahliapoint_intake::mouth::{Line, Mouth, Read};
 use dahliapoint_intake::pace::Interval;
 use dahliapoint_memory::facts::{Change, Differ};
@@ -103,6 +107,7 @@
     roster_fault: Arc<Mutex<Option<String>>>,
     figures: Arc<Mutex<Figures>>,
     views: Arc<Mutex<Vec<(&'static str, View)>>>,
+    hooking: Arc<Mutex<Option<Arc<Hooking>>>>,
     /// A hand that spoils orders, for tests of the guard.
     spoiled: Arc<Mutex<Option<Between>>>,
 }
@@ -139,6 +144,10 @@
     lines_before: u64,
     asked: Vec<(Id, Arc<Asked>)>,
     memory: Option<(Arc<Keeper>, Differ)>,
+    hooking: Option<Arc<Hooking>>,
+    /// The world as hooks last saw it, and when that was.
+    world: Arc<World>,
+    seen_at: f64,
 }
 
 impl Engine {
@@ -152,10 +161,16 @@
             roster_fault: Arc::default(),
             figures: Arc::default(),
             views: Arc::default(),
+            hooking: Arc::default(),
             spoiled: Arc::default(),
         }
     }
 
+    /// Hooks see what happens, from when the engine runs.
+    pub fn hooked(&self, hooking: Arc<Hooking>) {
+        *lock(&self.hooking) = Some(hooking);
+    }
+
     /// Puts a hand between planner and guard, before the engine runs.
     pub fn spoiled_by(&self, between: Between) {
         *lock(&self.spoiled) = Some(between);
@@ -206,6 +221,9 @@
             lines_before: 0,
             asked: Vec::new(),
             memory,
+            hooking: lock(&self.hooking).take(),
+            world: Arc::default(),
+            seen_at: f64::NEG_INFINITY,
         };
         let mut work = work;
         if let Some(between) = lock(&self.spoiled).take() {
@@ -281,7 +299,7 @@
         // What the roster says is remembered at once, the rest once a round.
         let listed = |i: &Input| matches!(i, Input::Roster(_) | Input::RosterChanges(_));
         let roster = inputs.iter().any(listed);
-        let outputs = work.controller.take(now, inputs);
+        let outputs = self.take(work, now, inputs);
         let took = self.clock.now_ms() - now;
         {
             let mut figures = lock(&self.figures);
@@ -303,6 +321,63 @@
         }
     }
 
+    /// One moment through the controller, with hooks before what leaves and behind it.
+    fn take(&self, work: &mut Work, now: f64, inputs: Vec<Input>) -> Vec<Output> {
+        let Some(hooking) = work.hooking.clone() else {
+            return work.controller.take(now, inputs);
+        };
+        let mut held = Vec::new();
+        let outputs = match hooking.gate() {
+            None => work.controller.take(now, inputs),
+            Some(gate) => {
+                let world = work.world.clone();
+                let mut until = None;
+                work.controller.take_gated(now, inputs, &mut |part, lines| {
+                    // One time for all publications of a moment.
+                    let ms = hooking.publication_ms() / 1e3;
+                    let until =
+                        *until.get_or_insert_with(|| Instant::now() + Duration::from_secs_f64(ms));
+                    let hold = hooking.judges(&gate, &world, part, lines, until);
+                    held.extend(hold.then_some(part));
+                    hold
+                })
+            }
+        };
+        if !held.is_empty()
+            && let Some(recorder) = &mut work.record
+            && let Err(e) = recorder
+                .note(now, &[Input::Gated(held)])
+                .and_then(|()| recorder.flush())
+        {
+            error!(error = %e, "the record cannot be written; it ends here");
+            work.record = None;
+        }
+        for output in &outputs {
+            if let Output::Write(_, message) = output
+                && let Scope::Part(part) = message.scope
+                && !message.lines.is_empty()
+            {
+                let seen = |l: &dahliapoint_control::Line| LineSeen {
+                    server: l.server.clone(),
+                    weight: if l.state == LineState::Away {
+                        0.0
+                    } else {
+                        l.weight
+                    },
+                    open: l.state == LineState::Open,
+                    before: 0.0,
+                };
+                hooking.published(part, message.lines.iter().map(seen).collect());
+            }
+        }
+        let controller = &work.controller;
+        let zones = &controller.terms().zones;
+        if let Some(world) = hooking.sees(&mut work.seen_at, || controller.overview(), zones) {
+            work.world = world;
+        }
+        outputs
+    }
+
     /// Offers what has changed to memory, without waiting.
     fn remember(&self, work: &mut Work) {
         let Some((keeper, differ)) = &mut work.memory else {
--- /dev/null
+++ b/crates/daemon/src/hooks.rs
@@ -0,0 +1,348 @@
+//! Hooks offline: checked, formatted, run and tested against a written night, without a controller.
+
+use crate::hooking;
+use dahliapoint_hooks::book::{Book, Listed};
+use dahliapoint_hooks::discipline::End;
+use dahliapoint_hooks::fault::told;
+use dahliapoint_hooks::host::{Event, Host, Id, Loaded, Unbounded};
+use dahliapoint_hooks::ops::Wished;
+use dahliapoint_hooks::points::{Point, WishKind};
+use dahliapoint_hooks::value::{LineSeen, ProxySeen, ServerSeen, State, World};
+use dahliapoint_yaml::{At, read};
+use std::fmt::Write;
+use std::path::Path;
+use std::sync::Arc;
+
+const STATES: [(&str, State); 3] = [
+    ("ready", State::Ready),
+    ("draining", State::Draining),
+    ("gone", State::Gone),
+];
+
+/// Checks a file.
+///
+/// # Errors
+/// All that is wrong with it, with places and hints.
+pub fn check(path: &Path) -> Result<String, String> {
+    let loaded = load(path)?;
+    let hooks = loaded.ready.hooks.len();
+    let keeps = loaded.ready.keeps.len();
+    Ok(format!(
+        "{}: {hooks} hooks, {keeps} names kept\n",
+        path.display()
+    ))
+}
+
+fn load(path: &Path) -> Result<Loaded, String> {
+    let source = hooking::read(path)?;
+    Loaded::new(&path.display().to_string(), &source)
+}
+
+/// A file in its one form.
+///
+/// # Errors
+/// Why it has none.
+pub fn format(path: &Path) -> Result<(String, String), String> {
+    let source = hooking::read(path)?;
+    let name = path.display().to_string();
+    let formatted = dahliapoint_hooks::format(&source).map_err(|f| told(&name, &source, &f))?;
+    Ok((source, formatted))
+}
+
+/// One step of a written night.
+struct Step {
+    line: u64,
+    at_ms: f64,
+    event: Option<Event>,
+    /// Servers and proxies that are otherwise from here on.
+    servers: Vec<ServerSeen>,
+    proxies: Vec<ProxySeen>,
+    lines: Vec<LineSeen>,
+    /// What is wanted of it: wishes, whether the table stays, a part of what is said.
+    wishes: Option<Vec<String>>,
+    hold: Option<bool>,
+    fails: Option<String>,
+    /// Servers that are not ready by then, as the book has it.
+    drained: Option<Vec<String>>,
+}
+
+struct Night {
+    world: World,
+    steps: Vec<Step>,
+}
+
+fn server(at: &At) -> ServerSeen {
+    let s = ServerSeen {
+        name: at.field("name").text(None).into(),
+        zone: at.field("zone").text(Some("here")).into(),
+        state: at.field("state").choice(&STATES, Some(State::Ready)),
+        listed: at.field("listed").number(0.0..=1e6, Some(1.0)),
+        weight: at.field("weight").number(0.0..=1e6, Some(1.0)),
+        shut: at.field("shut").flag(Some(false)),
+        part: at.field("part").number(-1.0..=1e6, Some(0.0)),
+        age_ms: at.field("age").time(0.0..=1e15, Some(3.2e10)),
+        tries_per_s: at.field("tries").number(0.0..=1e9, Some(0.0)),
+        failed_share: at.field("failed").number(0.0..=1.0, Some(0.0)),
+        mean_ms: at.field("time").time(0.0..=1e9, Some(0.0)),
+        in_flight: at.field("in_flight").number(0.0..=1e9, Some(0.0)),
+        stale: at.field("stale").flag(Some(false)),
+    };
+    at.close();
+    s
+}
+
+fn proxy(at: &At) -> ProxySeen {
+    let p = ProxySeen {
+        name: at.field("name").text(None).into(),
+        zone: at.field("zone").text(Some("here")).into(),
+        part: at.field("part").number(-1.0..=1e6, Some(0.0)),
+        unanswered: at.field("unanswered").number(0.0..=1e9, Some(0.0)),
+        silent: at.field("silent").flag(Some(false)),
+        contrary: at.field("contrary").flag(Some(false)),
+    };
+    at.close();
+    p
+}
+
+fn line(at: &At) -> LineSeen {
+    let l = LineSeen {
+        server: at.field("server").text(None).into(),
+        weight: at.field("weight").number(0.0..=1e9, Some(1.0)),
+        open: at.field("open").flag(Some(true)),
+        before: at.field("before").number(0.0..=1e9, Some(0.0)),
+    };
+    at.close();
+    l
+}
+
+fn texts(at: &At) -> Option<Vec<String>> {
+    at.is_there()
+        .then(|| at.list().iter().map(|t| t.text(None)).collect())
+}
+
+fn event(at: &At, point: Point) -> Event {
+    let part = || at.field("part").number(0.0..=1e6, Some(0.0)) as usize;
+    let name = |field: &str| Arc::from(at.field(field).text(None));
+    match point {
+        Point::BeforePublication => Event::BeforePublication(part()),
+        Point::AfterPublication => Event::AfterPublication(part(), Vec::new()),
+        Point::RosterChanged => {
+            let names = texts(&at.field("changed")).unwrap_or_default();
+            Event::RosterChanged(names.iter().map(|n| n.as_str().into()).collect())
+        }
+        Point::GuardHeld => {
+            let reasons = texts(&at.field("reasons")).unwrap_or_default();
+            Event::GuardHeld(part(), reasons.iter().map(|r| r.as_str().into()).collect())
+        }
+        Point::ServerChanged => Event::ServerChanged(
+            name("server"),
+            at.field("before").choice(&STATES, Some(State::Ready)),
+        ),
+        Point::ProxyJoined => Event::ProxyJoined(name("proxy")),
+        Point::ProxyLeft => Event::ProxyLeft(name("proxy")),
+        Point::Flagged => Event::Flagged(name("name"), name("what")),
+        // Which one is found when it runs.
+        Point::Timer => Event::Timer(Id { file: 0, hook: 0 }),
+    }
+}
+
+fn step(at: &At) -> Step {
+    let on = at.field("on");
+    let points = Point::ALL.map(|p| (p.name(), p));
+    let point = on.is_there().then(|| on.choice(&points, None));
+    let fails = at.field("fails");
+    let hold = at.field("hold");
+    let step = Step {
+        line: at.line(),
+        at_ms: at.field("at").time(0.0..=1e12, Some(0.0)),
+        event: point.map(|p| event(at, p)),
+        servers: at.field("servers").list().iter().map(server).collect(),
+        proxies: at.field("proxies").list().iter().map(proxy).collect(),
+        lines: at.field("lines").list().iter().map(line).collect(),
+        wishes: texts(&at.field("wishes")),
+        hold: hold.is_there().then(|| hold.flag(None)),
+        fails: fails.is_there().then(|| fails.text(None)),
+        drained: texts(&at.field("drained")),
+    };
+    at.close();
+    step
+}
+
+fn night(at: &At) -> Night {
+    let world = World {
+        now_ms: at.field("hour").number(0.0..=24.0, Some(0.0)) * 3.6e6,
+        zones: texts(&at.field("zones"))
+            .unwrap_or_default()
+            .iter()
+            .map(|z| z.as_str().into())
+            .collect(),
+        servers: at.field("servers").list().iter().map(server).collect(),
+        proxies: at.field("proxies").list().iter().map(proxy).collect(),
+        ..World::default()
+    };
+    let steps = at.field("steps").list().iter().map(step).collect();
+    at.close();
+    Night { world, steps }
+}
+
+/// A wish in words, as tests write it.
+fn words(w: &Wished) -> String {
+    let mut out = w.kind.name().to_string();
+    match w.kind {
+        WishKind::Drain | WishKind::Undrain => {
+            let _ = write!(out, " {}", w.whom);
+        }
+        WishKind::Scale | WishKind::Cap => {
+            let _ = write!(out, " {} {}", w.whom, w.number);
+        }
+        WishKind::Pin | WishKind::Release => {
+            let _ = write!(out, " {}", w.number);
+        }
+        WishKind::Annotate => {
+            let _ = write!(out, " {}: {}", w.whom, w.text);
+        }
+        WishKind::Alert => {
+            let _ = write!(out, ": {}", w.text);
+        }
+        WishKind::RefuseRoster | WishKind::Hold => {}
+    }
+    if let Some(ms) = w.lasts_ms {
+        let _ = write!(out, " for {} s", ms / 1e3);
+    }
+    out
+}
+
+/// What came of a step.
+#[derive(Default)]
+struct Came {
+    wishes: Vec<String>,
+    hold: bool,
+    said: Vec<String>,
+}
+
+/// Plays a night with a file's hooks; the text of what came, and how many steps did not come as wanted.
+///
+/// # Errors
+/// What is wrong with either file.
+pub fn play(path: &Path, events: &Path) -> Result<(String, usize), String> {
+    let loaded = load(path)?;
+    let name = events.display().to_string();
+    let text = std::fs::read_to_string(events).map_err(|e| format!("{name}: {e}\n"))?;
+    let night = read(&name, &text, night).map_err(|f| format!("{f}\n"))?;
+    let mut host = Host::default();
+    host.swap(0.0, vec![loaded]);
+    let mut book = Book::default();
+    let mut world = night.world;
+    let hour = world.now_ms;
+    let (mut out, mut wrong) = (String::new(), 0);
+    for step in &night.steps {
+        world.now_ms = hour + step.at_ms;
+        for s in &step.servers {
+            match world.servers.iter_mut().find(|w| w.name == s.name) {
+                Some(known) => *known = s.clone(),
+                None => world.servers.push(s.clone()),
+            }
+        }
+        for p in &step.proxies {
+            match world.proxies.iter_mut().find(|w| w.name == p.name) {
+                Some(known) => *known = p.clone(),
+                None => world.proxies.push(p.clone()),
+            }
+        }
+        world.lines = step.lines.clone();
+        world = world.indexed();
+        book.expire(step.at_ms);
+        let came = one(&mut host, &mut book, step, &world);
+        let listed = |s: &ServerSeen| Listed {
+            name: s.name.clone(),
+            zone: s.zone.clone(),
+            state: s.state,
+            weight: s.listed,
+        };
+        let roster: Vec<Listed> = world.servers.iter().map(listed).collect();
+        let in_force = book.in_force(&roster);
+        let drained = in_force
+            .servers
+            .iter()
+            .filter(|(_, (state, _))| *state != State::Ready);
+        let drained: Vec<String> = drained.map(|(n, _)| n.to_string()).collect();
+        let what = step.event.as_ref().map_or("set", |e| e.point().name());
+        let _ = writeln!(
+            out,
+            "{name}:{}: {} s, {what}: {}",
+            step.line,
+            step.at_ms / 1e3,
+            came.wishes.join("; ")
+        );
+        came.said.iter().for_each(|s| out.push_str(s));
+        let mut differs = |wanted: String, found: String| {
+            if wanted != found {
+                wrong += 1;
+                let _ = writeln!(out, "  wanted {wanted}\n  found  {found}");
+            }
+        };
+        if let Some(wanted) = &step.wishes {
+            differs(format!("{wanted:?}"), format!("{:?}", came.wishes));
+        }
+        if let Some(wanted) = step.hold {
+            differs(format!("hold {wanted}"), format!("hold {}", came.hold));
+        }
+        if let Some(wanted) = &step.drained {
+            differs(
+                format!("drained {wanted:?}"),
+                format!("drained {drained:?}"),
+            );
+        }
+        let said = came.said.concat();
+        match &step.fails {
+            Some(part) if !said.contains(part) => {
+                differs(format!("a fault with {part:?}"), format!("{said:?}"))
+            }
+            None if !said.is_empty() => differs("no fault".into(), format!("{said:?}")),
+            _ => {}
+        }
+    }
+    Ok((out, wrong))
+}
+
+/// Runs what waits for a step.
+fn one(host: &mut Host, book: &mut Book, step: &Step, world: &World) -> Came {
+    let mut came = Came::default();
+    let now = step.at_ms;
+    let Some(event) = &step.event else {
+        return came;
+    };
+    // Steps bound a run here: the same night comes out the same on any machine.
+    let mut never = || false;
+    if let Event::BeforePublication(part) = event {
+        let verdict = host.gate(now).judge(*part, world, &mut Unbounded);
+        came.hold = verdict.hold;
+        came.wishes = verdict
+            .alerts
+            .iter()
+            .map(|(_, text)| format!("alert: {text}"))
+            .collect();
+        came.said = verdict.said;
+        return came;
+    }
+    let events: Vec<Event> = match event {
+        Event::Timer(_) => host.waiting_for(Point::Timer).map(Event::Timer).collect(),
+        other => vec![other.clone()],
+    };
+    for event in events {
+        for id in host.due(now, &event) {
+            let Some(ran) = host.run(now, id, &event, world, &mut never) else {
+                continue;
+            };
+            came.said.extend(ran.said);
+            if ran.end != End::Well {
+                continue;
+            }
+            match book.takes(now, &ran.hook, &ran.wishes) {
+                Ok(_) => came.wishes.extend(ran.wishes.iter().map(words)),
+                Err(why) => came.said.push(format!("{why}\n")),
+            }
+        }
+    }
+    came
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod deployment;
 pub mod engine;
 pub mod guarding;
+pub mod hooking;
+pub mod hooks;
 pub mod life;
 pub mod memory;
 pub mod probe;
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -2,6 +2,7 @@
 
 use crate::deployment::Deployment;
 use crate::engine::{Clock, Engine};
+use crate::hooking::Hooking;
 use crate::memory;
 use crate::probe::Prober;
 use crate::roster::{Look, Watch};
@@ -42,6 +43,7 @@
     watcher: Option<JoinHandle<()>>,
     files: Option<(Arc<files::Front>, JoinHandle<()>)>,
     memory: Option<(Arc<Keeper>, JoinHandle<()>)>,
+    hooks: Option<(Arc<Hooking>, JoinHandle<()>)>,
 }
 
 impl Daemon {
@@ -154,12 +156,36 @@
         if let Some((keeper, _)) = kept.clone() {
             engine.shows("memory", Box::new(move || keeper.view()));
         }
+        let hooking = deployment.hooks.clone().map(Hooking::new);
+        let listed = entries_of(&first);
+        if let Some(hooking) = &hooking {
+            // Whatever is wrong with a hook is told before anything runs.
+            crate::hooking::load(
+                &deployment
+                    .hooks
+                    .as_ref()
+                    .map_or(PathBuf::new(), |p| p.dir.clone()),
+            )?;
+            engine.hooked(hooking.clone());
+            let shown = hooking.clone();
+            engine.shows("hooks", Box::new(move || shown.view()));
+        }
         let owner = engine
             .run(seed, terms, record.as_deref(), first, hand, kept)
             .map_err(|e| format!("the controller cannot start: {e}"))?;
+        let hooks = match hooking {
+            None => None,
+            Some(hooking) => {
+                let keeper = memory.as_ref().map(|(keeper, _)| keeper.clone());
+                let thread = hooking.start(engine.clone(), listed, keeper, facts.kept.clone())?;
+                Some((hooking, thread))
+            }
+        };
         let ending = Arc::new(AtomicBool::new(false));
         let every = Duration::from_secs_f64(deployment.roster_every_ms / 1e3);
-        let watcher = watched.then(|| watching(watch, every, engine.clone(), ending.clone()));
+        let seen = hooks.as_ref().map(|(h, _)| h.clone());
+        let watcher =
+            watched.then(|| watching(watch, every, (engine.clone(), seen), ending.clone()));
         info!(xds = %server.address(), servers, service = %deployment.terms.service, "running");
         Ok(Daemon {
             server,
@@ -170,6 +196,7 @@
             watcher: watcher.flatten(),
             files,
             memory,
+            hooks,
         })
     }
 
@@ -188,6 +215,10 @@
         self.ending.store(true, Ordering::SeqCst);
         self.front.end();
         let all = self.server.end(Instant::now() + within);
+        if let Some((hooking, thread)) = self.hooks {
+            hooking.end();
+            let _ = thread.join();
+        }
         self.engine.close();
         let _ = self.owner.join();
         if let Some((front, thread)) = self.files {
@@ -206,10 +237,19 @@
     }
 }
 
+/// The roster that the owner begins with.
+fn entries_of(first: &[Input]) -> Vec<Entry> {
+    let mut rosters = first.iter().rev().filter_map(|i| match i {
+        Input::Roster(entries) => Some(entries.clone()),
+        _ => None,
+    });
+    rosters.next().unwrap_or_default()
+}
+
 fn watching(
     mut watch: Watch,
     every: Duration,
-    engine: Engine,
+    (engine, hooks): (Engine, Option<Arc<Hooking>>),
     ending: Arc<AtomicBool>,
 ) -> Option<JoinHandle<()>> {
     let look = move || {
@@ -220,7 +260,12 @@
                 Look::New(entries) => {
                     info!(servers = entries.len(), "a new roster is taken");
                     engine.roster_fault(None);
-                    engine.put(Input::Roster(entries));
+                    match &hooks {
+                        Some(hooks) => hooks.roster(entries),
+                        None => {
+                            engine.put(Input::Roster(entries));
+                        }
+                    }
                 }
                 Look::Refused(why) => {
                     warn!("the roster is refused, the last good one stands: {why}");
--- a/crates/hooks/benches/running.rs
+++ b/crates/hooks/benches/running.rs
@@ -2,7 +2,7 @@
 //! tick, fifty hooks over 384 servers and 1,203 proxies.
 
 use criterion::{Criterion, criterion_group, criterion_main};
-use dahliapoint_hooks::host::{Event, Host, Loaded, events_between};
+use dahliapoint_hooks::host::{Event, Host, Loaded, Unbounded, events_between};
 use dahliapoint_hooks::natives::Left;
 use dahliapoint_hooks::run::{Allowance, run};
 use dahliapoint_hooks::value::{LineSeen, ProxySeen, ServerSeen, State, World};
@@ -134,9 +134,9 @@
     };
     let mut leaving = seen.clone();
     leaving.lines = seen.servers.iter().take(128).map(line).collect();
-    let gate = host.gate();
-    group.bench_function("seventeen hooks before a publication of 128 lines", |b| {
-        b.iter(|| black_box(gate.judge(0, &leaving, &mut || false)));
+    let gate = host.gate(0.0);
+    group.bench_function("sixteen hooks before a publication of 128 lines", |b| {
+        b.iter(|| black_box(gate.judge(0, &leaving, &mut Unbounded)));
     });
     group.finish();
 }
--- a/crates/hooks/src/host.rs
+++ b/crates/hooks/src/host.rs
@@ -354,9 +354,10 @@
         })
     }
 
-    /// A gate that judges publications, with what is kept as it is now.
-    pub fn gate(&self) -> Gate {
-        let ids: Vec<Id> = self.waiting_for(Point::BeforePublication).collect();
+    /// A gate that judges publications, with what is kept as it is now, without those who rest.
+    pub fn gate(&self, now: f64) -> Gate {
+        let ids = self.waiting_for(Point::BeforePublication);
+        let ids: Vec<Id> = ids.filter(|id| self.may_run(now, *id)).collect();
         let hooks = ids.into_iter().map(|id| {
             let h = &self.hooked[id.file];
             GateHook {
@@ -382,10 +383,6 @@
         record.map_or(Deed::Nothing, |r| r.ran(now, end, 0, most))
     }
 
-    pub fn gate_may_run(&self, now: f64, id: Id) -> bool {
-        self.may_run(now, id)
-    }
-
     /// What is kept, by file and name, for memory.
     pub fn kept(&self) -> Vec<(Arc<str>, Arc<str>, Value)> {
         let all = self.hooked.iter().flat_map(|h| {
@@ -463,6 +460,31 @@
     pub said: Vec<String>,
 }
 
+/// The time of several runs, as the caller measures it: each gets its part of what is left.
+pub trait Turns {
+    /// The next of so many runs begins.
+    fn begins(&mut self, left: usize);
+    /// The run at hand has had its part.
+    fn is_up(&mut self) -> bool;
+    /// There is no time for another.
+    fn are_over(&mut self) -> bool;
+}
+
+/// No bounds but the allowance's.
+pub struct Unbounded;
+
+impl Turns for Unbounded {
+    fn begins(&mut self, _: usize) {}
+
+    fn is_up(&mut self) -> bool {
+        false
+    }
+
+    fn are_over(&mut self) -> bool {
+        false
+    }
+}
+
 impl Gate {
     pub fn is_empty(&self) -> bool {
         self.hooks.is_empty()
@@ -470,15 +492,13 @@
 
     /// Asks each hook in turn, unless the time for all is over. Who throws or is cut off has not been there: the
     /// table leaves as it would without it. One that says hold is enough.
-    pub fn judge(&self, part: usize, world: &World, time_is_up: TimeIsUp) -> Verdict {
+    pub fn judge(&self, part: usize, world: &World, turns: &mut dyn Turns) -> Verdict {
         let mut out = Verdict::default();
         let event = Event::BeforePublication(part);
-        for hook in &self.hooks {
-            if time_is_up() {
-                out.said.push(format!(
-                    "{} was not asked: the time for all was over",
-                    hook.name
-                ));
+        for (i, hook) in self.hooks.iter().enumerate() {
+            if turns.are_over() {
+                let why = "the time for all was over";
+                out.said.push(format!("{} was not asked: {why}", hook.name));
                 continue;
             }
             let ready = &hook.loaded.ready;
@@ -486,6 +506,8 @@
                 continue;
             };
             let function = ready.hooks[hook.id.hook].function;
+            turns.begins(self.hooks.len() - i);
+            let mut is_up = || turns.is_up();
             match run(
                 ready,
                 function,
@@ -493,7 +515,7 @@
                 &hook.keeps,
                 world,
                 self.allowance,
-                &mut *time_is_up,
+                &mut is_up,
             ) {
                 Ok(outcome) => {
                     out.ran.push((hook.id, End::Well));
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -76,6 +76,9 @@
         /// The controller keeps what it knows over its restarts.
         #[arg(long)]
         memory: bool,
+        /// The controller runs the hooks of this folder.
+        #[arg(long)]
+        hooks: Option<PathBuf>,
         /// Keep the day's folder (the controller's logs, its roster) here.
         #[arg(long)]
         keep: Option<PathBuf>,
@@ -186,11 +189,12 @@
             proxies,
             front,
             memory,
+            hooks,
             keep,
         } => match bad_day(
             &file,
             (wrong, in_module),
-            guard,
+            (guard, hooks),
             (proxies, front, memory),
             keep,
         ) {
@@ -216,7 +220,7 @@
 fn bad_day(
     file: &std::path::Path,
     (wrong, in_module): (Option<sabotage::Wrong>, bool),
-    guard: Option<String>,
+    (guard, hooks): (Option<String>, Option<PathBuf>),
     (proxies, front, memory): (Option<Kind>, Option<Front>, bool),
     keep: Option<PathBuf>,
 ) -> Result<serde_json::Value, String> {
@@ -226,6 +230,12 @@
     if let Some(guard) = guard {
         day.deployment_text += &format!("\nguard: {guard}\n");
     }
+    if let Some(dir) = hooks {
+        let dir = dir
+            .canonicalize()
+            .map_err(|e| format!("{}: {e}", dir.display()))?;
+        day.deployment_text += &format!("\nhooks: {{dir: {:?}}}\n", dir.display().to_string());
+    }
     day.front = front.map_or(day.front, |front| match front {
         Front::Streams => day::Fronts::Streams,
         Front::Files => day::Fronts::Files,
--- a/crates/standins/src/play.rs
+++ b/crates/standins/src/play.rs
@@ -478,6 +478,7 @@
         "files": overview["files"],
         "memory": overview["memory"],
         "guard": overview["guard"],
+        "hooks": overview["hooks"],
     });
     report["kept"] = json!(!world.ledger.is_broken());
     Ok(report)
--- a/crates/standins/tests/days.rs
+++ b/crates/standins/tests/days.rs
@@ -210,6 +210,26 @@
     }
 }
 
+/// Hooks that loop, throw or eat memory at every hook point at once, over both fronts: all rules are kept, each is
+/// cut off, and nothing that they wished is in force.
+#[test]
+fn runaway_hooks_break_no_rule() {
+    let hooks = Path::new(env!("CARGO_MANIFEST_DIR")).join("hooks/runaway");
+    let hooks = hooks.to_str().unwrap();
+    for more in [
+        ["--hooks", hooks, "--front", "streams"],
+        ["--hooks", hooks, "--front", "files"],
+    ] {
+        let report = keeps_with("restart-during-drain", &ALL, &more);
+        let told = &report["controller"]["hooks"];
+        let all = told["hooks"].as_array().unwrap();
+        let sum = |what: &str| -> u64 { all.iter().filter_map(|h| h[what].as_u64()).sum() };
+        assert!(sum("cut_off") > 3 && sum("failed") > 2, "{told:#}");
+        assert_eq!(told["wishes"], serde_json::json!([]));
+        assert_eq!(told["publications_held"], 0);
+    }
+}
+
 /// An order that would run an effect twice is not obeyed by the obedient proxy; orders that its rules do
 /// not concern are, and the checkers at the servers' sockets see them.
 #[test]
