Import: host lists of Apache's balancer and mod_jk's worker files, followed and written back

Other installations keep their hosts in Apache's and mod_jk's files, and a controller could not read them. crates/import reads both as httpd and mod_jk do (includes, patterns, words that stand for others, references), refuses whatever it would have to guess with file and line, and writes weights and states back into the very bytes that say them. A controller follows such files, with all that they include, as its roster; dahliapoint import prints and writes back. Tables in Apache's form had load factors below 1, which httpd refuses: the heaviest line has 100 now.

--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -1,11 +1,14 @@
 //! The command line: runs a controller, checks its files, asks one for its state, plays a record again.
 
 use crate::deployment::{self, Deployment, LogForm};
+use crate::importing::{self, Foreign};
 use crate::life::{Daemon, Source};
-use crate::{guarding, hooking, hooks, memory, roster, sample, status};
+use crate::roster::{self, Watch};
+use crate::{guarding, hooking, hooks, memory, sample, status};
 use clap::{Parser, Subcommand};
 use dahliapoint_control::record::{End, bytes_of, replay};
 use dahliapoint_files::forms::Form;
+use dahliapoint_import::Kind;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::ffi::OsString;
@@ -25,6 +28,13 @@
     command: Command,
 }
 
+#[derive(Clone, Copy, clap::ValueEnum)]
+enum Theirs {
+    Apache,
+    #[value(name = "mod_jk")]
+    Jk,
+}
+
 #[derive(Subcommand)]
 enum HookWork {
     /// Tell all that is wrong with files.
@@ -84,6 +94,30 @@
         #[arg(long, value_enum, default_value = "json")]
         form: Written,
     },
+    /// Read Apache's balancer or mod_jk's worker files, and print the roster that they say.
+    Import {
+        file: PathBuf,
+        #[arg(long, value_enum)]
+        form: Theirs,
+        /// The balancer, if there are several.
+        #[arg(long)]
+        balancer: Option<String>,
+        /// The zone of hosts that say none.
+        #[arg(long)]
+        zone: Option<String>,
+        /// A name that holds in <IfModule> and <IfDefine>.
+        #[arg(long)]
+        assume: Vec<String>,
+        /// Where relative paths begin, if not in the file's folder.
+        #[arg(long)]
+        root: Option<String>,
+        /// Tell what these files would be with the weights and states of this roster.
+        #[arg(long)]
+        write_back: Option<PathBuf>,
+        /// And write them.
+        #[arg(long, requires = "write_back")]
+        in_place: bool,
+    },
     /// Check, format, run and test hooks.
     Hook {
         #[command(subcommand)]
@@ -156,6 +190,29 @@
         Command::Status { at, json } => ask(at, json),
         Command::Export { at, part, form } => export(at, part, form),
         Command::Hook { what } => hook(what),
+        Command::Import {
+            file,
+            form,
+            balancer,
+            zone,
+            assume,
+            root,
+            write_back,
+            in_place,
+        } => {
+            let kind = match form {
+                Theirs::Apache => Kind::Apache,
+                Theirs::Jk => Kind::Jk,
+            };
+            let foreign = Foreign {
+                kind,
+                balancer,
+                assumed: assume,
+                root,
+                zone,
+            };
+            take_over(&file, &foreign, write_back.as_deref(), in_place)
+        }
         Command::Guard {
             what: Judge::Explain { file },
         } => explain(&file),
@@ -232,11 +289,13 @@
 
 fn check(file: &Path) -> Done {
     let deployment = load(file)?;
-    let path = &deployment.roster;
-    let name = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|e| wrong(format!("{name}: {e}")))?;
     let zones = &deployment.terms.zones;
-    let entries = roster::parse(&name, &text, zones, roster::wall_ms()).map_err(wrong)?;
+    let look = Watch::new(&deployment.roster, &deployment.roster_form, zones).look();
+    let entries = match look {
+        roster::Look::New(entries) => entries,
+        roster::Look::Refused(why) => return Err(wrong(why)),
+        roster::Look::Same => return Err(wrong("the roster changes while it is read")),
+    };
     if let Some(place) = &deployment.hooks {
         let set = hooking::load(&place.dir).map_err(|f| wrong(f.trim_end()))?;
         println!("{}: {} files of hooks", place.dir.display(), set.len());
@@ -263,6 +322,21 @@
     Ok(())
 }
 
+fn take_over(file: &Path, foreign: &Foreign, back: Option<&Path>, in_place: bool) -> Done {
+    let told = match back {
+        Some(roster) => importing::write_back(file, foreign, roster, in_place).map_err(wrong)?,
+        None => {
+            let import =
+                importing::import(&mut importing::Disk::default(), file, foreign).map_err(wrong)?;
+            let entries = importing::entries(&import, foreign, None).map_err(wrong)?;
+            importing::as_yaml(&entries)
+        }
+    };
+    // A reader that has gone away is no fault of ours.
+    let _ = std::io::stdout().write_all(told.as_bytes());
+    Ok(())
+}
+
 fn hook(what: HookWork) -> Done {
     let say = |text: &str| {
         // A reader that has gone away is no fault of ours.
--- a/crates/daemon/src/deployment.rs
+++ b/crates/daemon/src/deployment.rs
@@ -2,12 +2,14 @@
 //! anything starts. docs/operators/running.md lists the fields.
 
 use crate::hooking::HooksPlace;
+use crate::importing::{Foreign, RosterForm};
 use dahliapoint_control::ward::Guarding;
 use dahliapoint_control::{ClassTerms, FurtherTry, Terms};
 use dahliapoint_files::forms::Form;
 use dahliapoint_files::reach::{Promise, Reach};
 use dahliapoint_hooks::host::Bounds;
 use dahliapoint_hooks::run::Allowance;
+use dahliapoint_import::Kind;
 use dahliapoint_xds::{RESPONSES_BY_JOINING, RESPONSES_BY_MESSAGE};
 use dahliapoint_yaml::{At, Faults, read};
 use std::collections::BTreeSet;
@@ -44,6 +46,7 @@
     pub hard_limits_ms: Vec<f64>,
     pub connect_ms: f64,
     pub roster: PathBuf,
+    pub roster_form: RosterForm,
     pub roster_every_ms: f64,
     pub probe_path: String,
     pub probe_within_ms: f64,
@@ -159,6 +162,7 @@
     let roster = at.field("roster");
     let roster_file = roster.field("file").text(None);
     let roster_every_ms = roster.field("every").time(10.0..=60_000.0, Some(200.0));
+    let roster_form = roster_form(&roster, folder, &zones);
     let probe = roster.field("probe");
     let may_probe = probe.is_there();
     let probe_path = probe.field("path").text(Some("/"));
@@ -249,6 +253,7 @@
         hard_limits_ms,
         connect_ms,
         roster: folder.join(roster_file),
+        roster_form,
         roster_every_ms,
         probe_path,
         probe_within_ms,
@@ -263,6 +268,49 @@
     }
 }
 
+/// Our own form, or others' files with what is to be known beside them.
+fn roster_form(at: &At, folder: &Path, zones: &[String]) -> RosterForm {
+    let kinds = [
+        ("yaml", None),
+        ("apache", Some(Kind::Apache)),
+        ("mod_jk", Some(Kind::Jk)),
+    ];
+    let Some(kind) = at.field("form").choice(&kinds, Some(None)) else {
+        return RosterForm::Own;
+    };
+    let optional = |name: &str| {
+        let field = at.field(name);
+        field.is_there().then(|| field.text(None))
+    };
+    let zone = at.field("zone");
+    let one = match zones {
+        [one] => Some(one.clone()),
+        _ => None,
+    };
+    let zone = if zone.is_there() {
+        let told = zone.text(None);
+        if !zones.contains(&told) {
+            zone.wrong(format!("one of the zones {} is wanted", zones.join(", ")));
+        }
+        Some(told)
+    } else {
+        // Where there is one, it is theirs.
+        one
+    };
+    RosterForm::Foreign(Foreign {
+        kind,
+        balancer: optional("balancer"),
+        assumed: at
+            .field("assume")
+            .list()
+            .iter()
+            .map(|a| a.text(None))
+            .collect(),
+        root: optional("root").map(|root| folder.join(root).display().to_string()),
+        zone,
+    })
+}
+
 /// Hooks: what all of them may use is bounded by the grace, since a roster waits for them.
 fn hooks(at: &At, folder: &Path, grace_ms: f64) -> HooksPlace {
     let usual = Bounds::default();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod guarding;
 pub mod hooking;
 pub mod hooks;
+pub mod importing;
 pub mod life;
 pub mod memory;
 pub mod probe;
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -71,7 +71,7 @@
                 (Some(started), facts)
             }
         };
-        let mut watch = Watch::new(&deployment.roster, &terms.zones);
+        let mut watch = Watch::new(&deployment.roster, &deployment.roster_form, &terms.zones);
         let (entries, watched) = match source {
             Source::Fixed(entries) => (entries, false),
             Source::File => match watch.look() {
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -1,6 +1,8 @@
 //! The roster: a YAML file that others replace atomically, looked at now and then. A broken one is
-//! refused with its reason and the last good one stands.
+//! refused with its reason and the last good one stands. Others' files ([`importing`]) are looked at alike, with all
+//! that they include.
 
+use crate::importing::{self, Disk, RosterForm, Stamp, stamp};
 use dahliapoint_control::{AdminState, Entry};
 use dahliapoint_yaml::{Faults, read};
 use std::collections::BTreeMap;
@@ -91,8 +93,11 @@
 /// Watches a roster file.
 pub struct Watch {
     path: PathBuf,
+    form: RosterForm,
     zones: Vec<String>,
     seen: Option<Seen>,
+    /// Files and folders that others' files led to, as they were.
+    asked: Vec<(PathBuf, Option<Stamp>)>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -106,11 +111,13 @@
 }
 
 impl Watch {
-    pub fn new(path: &Path, zones: &[String]) -> Watch {
+    pub fn new(path: &Path, form: &RosterForm, zones: &[String]) -> Watch {
         Watch {
             path: path.to_path_buf(),
+            form: form.clone(),
             zones: zones.to_vec(),
             seen: None,
+            asked: Vec::new(),
         }
     }
 
@@ -127,8 +134,38 @@
         }
     }
 
+    /// Looks at others' files. Ones that change while they are read are read again with the next look: nobody
+    /// swaps several at once.
+    fn look_at(&mut self, foreign: &importing::Foreign) -> Look {
+        let is_same = |(path, was): &(PathBuf, Option<Stamp>)| stamp(path) == *was;
+        if !self.asked.is_empty() && self.asked.iter().all(is_same) {
+            return Look::Same;
+        }
+        let mut disk = Disk::default();
+        // Stamps from before each is read are not to be had; so all is read twice, and must lead to the same.
+        let first = importing::import(&mut disk, &self.path, foreign);
+        let stamps = |disk: &Disk| -> Vec<(PathBuf, Option<Stamp>)> {
+            disk.asked.iter().map(|p| (p.clone(), stamp(p))).collect()
+        };
+        let before = stamps(&disk);
+        let second = importing::import(&mut disk, &self.path, foreign);
+        let changes = first != second || !before.iter().all(is_same);
+        if changes {
+            return Look::Same;
+        }
+        self.asked = before;
+        let read = second.and_then(|i| importing::entries(&i, foreign, Some(&self.zones)));
+        match read {
+            Ok(entries) => Look::New(entries),
+            Err(why) => Look::Refused(why),
+        }
+    }
+
     /// Looks whether the file is another than the last time, and reads it if so.
     pub fn look(&mut self) -> Look {
+        if let RosterForm::Foreign(foreign) = self.form.clone() {
+            return self.look_at(&foreign);
+        }
         let now = self.state();
         if self.seen.as_ref() == Some(&now) {
             return Look::Same;
@@ -190,7 +227,7 @@
             std::fs::write(&aside, text).unwrap();
             std::fs::rename(&aside, &path).unwrap();
         };
-        let mut watch = Watch::new(&path, &["a".to_string()]);
+        let mut watch = Watch::new(&path, &RosterForm::Own, &["a".to_string()]);
         assert!(matches!(watch.look(), Look::Refused(_)));
         assert_eq!(watch.look(), Look::Same);
         put("servers:\n- {name: x, address: '127.0.0.1:1', zone: a}\n");
--- a/crates/files/src/forms.rs
+++ b/crates/files/src/forms.rs
@@ -8,8 +8,8 @@
 
 /// Weights of forms that take whole numbers are of this many to 1.0; a line that is open weighs at least 1.
 const SCALE: f64 = 100.0;
-/// What Apache takes as the largest `loadfactor`, and HAProxy as the largest weight.
-const LARGEST_FACTOR: f64 = 100.0;
+/// Apache takes a `loadfactor` from 1 to 100; HAProxy's largest weight.
+const FACTORS: (f64, f64) = (1.0, 100.0);
 const LARGEST_WEIGHT: f64 = 256.0;
 
 /// A line of a published table.
@@ -185,19 +185,15 @@
 /// `<Proxy>` with a `BalancerMember` a line (mod_proxy_balancer). Levels have no counterpart there.
 fn balancer(table: &Table) -> String {
     let heaviest = table.lines.values().map(|l| l.weight).fold(0.0, f64::max);
-    // Factors go up to 100: the heaviest line has that if its own would be more.
-    let scale = if heaviest > LARGEST_FACTOR {
-        LARGEST_FACTOR / heaviest
-    } else {
-        1.0
-    };
+    // The heaviest line has the largest factor; a line that weighs less than a hundredth of it has the least.
+    let scale = FACTORS.1 / heaviest.max(1e-9);
     let mut out = format!(
         "# generation {}\n<Proxy \"balancer://{}\">\n",
         table.generation,
         plain(&table.service)
     );
     for l in table.lines.values() {
-        let factor = (l.weight * scale).clamp(0.01, LARGEST_FACTOR);
+        let factor = (l.weight * scale).clamp(FACTORS.0, FACTORS.1);
         let status = if table.is_open(l) { "-D" } else { "+D" };
         let _ = writeln!(
             out,
@@ -295,8 +291,8 @@
         let cases = [
             (
                 Form::Balancer,
-                "route=a loadfactor=0.10 status=-D",
-                "route=b_20_c_a_ loadfactor=1.00 status=+D",
+                "route=a loadfactor=10.00 status=-D",
+                "route=b_20_c_a_ loadfactor=100.00 status=+D",
             ),
             (
                 Form::Workers,
--- /dev/null
+++ b/crates/import/examples/reading.rs
@@ -0,0 +1,65 @@
+//! How long it takes to read large files, and to write them back, against passing over their lines alone.
+
+use dahliapoint_import::{Files, Kind, State, Wanted, read};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::hint::black_box;
+use std::time::Instant;
+
+struct One(String);
+
+impl Files for One {
+    fn read(&mut self, _: &str) -> Result<String, String> {
+        Ok(self.0.clone())
+    }
+
+    fn list(&mut self, _: &str) -> Result<Vec<String>, String> {
+        Ok(Vec::new())
+    }
+}
+
+fn main() {
+    for many in [384, 10_000, 50_000] {
+        let mut apache = String::from("<Proxy balancer://p>\n");
+        let names: Vec<String> = (0..many).map(|i| format!("h{i}")).collect();
+        let mut jk = format!(
+            "worker.list=p\nworker.p.type=lb\nworker.p.balance_workers={}\n",
+            names.join(",")
+        );
+        for i in 0..many {
+            let address = format!("10.{}.{}.{}", i / 65_536, i / 256 % 256, i % 256);
+            let _ = writeln!(
+                apache,
+                "  BalancerMember \"http://{address}:8080\" route=h{i} loadfactor=2 ping=5"
+            );
+            let _ = writeln!(
+                jk,
+                "worker.h{i}.host={address}\nworker.h{i}.port=8009\nworker.h{i}.lbfactor=2"
+            );
+        }
+        apache.push_str("</Proxy>\n");
+        for (kind, text) in [(Kind::Apache, apache), (Kind::Jk, jk)] {
+            let begun = Instant::now();
+            let lines = black_box(text.lines().filter(|l| !l.trim().is_empty()).count());
+            let plain = begun.elapsed();
+            let begun = Instant::now();
+            let import =
+                read(&mut One(text.clone()), "f", kind, &Wanted::default()).expect("a good file");
+            let took = begun.elapsed();
+            let all: BTreeMap<String, (f64, State)> = import
+                .hosts
+                .iter()
+                .map(|h| (h.name.clone(), (3.0, State::Draining)))
+                .collect();
+            let begun = Instant::now();
+            let written = import.written(&all).expect("good changes");
+            let back = begun.elapsed();
+            println!(
+                "{kind:?}, {} hosts, {lines} lines, {} KiB: read in {took:.2?} (lines alone {plain:.2?}), all written back in {back:.2?}, {} KiB",
+                import.hosts.len(),
+                text.len() / 1024,
+                written[0].text.len() / 1024
+            );
+        }
+    }
+}
--- a/crates/standins/src/sabotage.rs
+++ b/crates/standins/src/sabotage.rs
@@ -81,7 +81,7 @@
         }
         None
     });
-    let mut watch = Watch::new(&deployment.roster, &terms.zones);
+    let mut watch = Watch::new(&deployment.roster, &deployment.roster_form, &terms.zones);
     let Look::New(entries) = watch.look() else {
         return Err("no roster".into());
     };
