Learning from a peer: a new controller asks a running one, and weighs its words by age

A controller that starts without memory took seven seconds of reports to find servers that are slow. It may now ask running ones, once, within a time: words about servers with their ages, the most useful first, go through the same ageing as memory and into the planner by the calls that it has. Three rules say whose word counts. A verdict is as old as the last visit that backed it; before, a restart without visits made an old one young again, in memory too. What came before a peer died counts; only a whole word of one that has lived says who is new.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -95,6 +95,8 @@
     pub shut: bool,
     /// How long ago it started, if the roster says.
     pub started_ago_ms: Option<f64>,
+    /// How long ago a report last told of tries there; nothing: none has since this controller began.
+    pub met_ago_ms: Option<f64>,
     pub estimate: Option<EstimateView>,
     pub by_class: Vec<ClassView>,
 }
@@ -530,6 +532,9 @@
             match self.servers.find(&m.server).filter(|_| known) {
                 Some(s) => {
                     self.accounts.report_lines += 1;
+                    if m.tries > 0.0 {
+                        self.servers.slots[s].met_at = Some(now - report.ended_ago_ms);
+                    }
                     let news = self.reports.met(now, who, s, report, m);
                     self.accounts.late_lines += u64::from(!news);
                 }
@@ -974,6 +979,7 @@
             weight: s.weight,
             shut: s.shut,
             started_ago_ms: s.started.map(|(_, at)| self.now - at),
+            met_ago_ms: s.met_at.map(|at| (self.now - at).max(0.0)),
             estimate: None,
             by_class: Vec::new(),
         }
--- a/crates/control/src/servers.rs
+++ b/crates/control/src/servers.rs
@@ -21,6 +21,8 @@
     /// What is ordered; what has left follows by steps that the guard finds safe.
     pub wanted: f64,
     pub wants_shut: bool,
+    /// When a report last told of tries there.
+    pub met_at: Option<f64>,
     /// A probe is out.
     pub asked: bool,
     /// Since when it is gone, and the last serial whose message may name it.
@@ -102,7 +104,7 @@
             // The planner keeps its part, its line of 0 and its withdrawal with the index.
             Some(slot) => {
                 (slot.name, slot.address) = (name, address);
-                (slot.started, slot.asked) = (None, false);
+                (slot.started, slot.asked, slot.met_at) = (None, false, None);
             }
             None => self.slots.push(Slot {
                 name,
@@ -116,6 +118,7 @@
                 shut: false,
                 wanted: 0.0,
                 wants_shut: false,
+                met_at: None,
                 asked: false,
                 gone_since: None,
                 named_in: 0,
--- a/crates/daemon/src/deployment.rs
+++ b/crates/daemon/src/deployment.rs
@@ -61,6 +61,11 @@
     pub files: Option<Files>,
     /// Where what is known is kept over restarts, and the key that it is sealed with.
     pub memory: Option<(PathBuf, Option<PathBuf>)>,
+    /// Controllers that are asked at the start, and for how long.
+    pub peers: Vec<SocketAddr>,
+    pub peers_within_ms: f64,
+    /// Who asks is told.
+    pub tells: bool,
     /// Where hooks are, and what they may use.
     pub hooks: Option<HooksPlace>,
 }
@@ -194,6 +199,21 @@
         (dir, key)
     });
 
+    let peers = at.field("peers");
+    let addresses: Vec<Option<SocketAddr>> = peers
+        .field("ask")
+        .list()
+        .iter()
+        .map(|p| {
+            p.parsed("an address such as 127.0.0.1:18000", None, |t| {
+                t.parse().ok()
+            })
+        })
+        .collect();
+    let peers_within_ms = peers.field("within").time(10.0..=60_000.0, Some(1_000.0));
+    let tells = peers.field("tell").flag(Some(true));
+    peers.close();
+
     let hooks = at.field("hooks");
     let hooks = hooks
         .is_there()
@@ -264,6 +284,9 @@
         stream_patience_ms: patience,
         files,
         memory,
+        peers: addresses.into_iter().flatten().collect(),
+        peers_within_ms,
+        tells,
         hooks,
     }
 }
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -13,8 +13,9 @@
 use dahliapoint_hooks::value::{LineSeen, World};
 use dahliapoint_intake::mouth::{Line, Mouth, Read};
 use dahliapoint_intake::pace::Interval;
-use dahliapoint_memory::facts::{Change, Differ};
+use dahliapoint_memory::facts::{Change, Differ, Facts};
 use dahliapoint_memory::keeper::{self, Keeper};
+use dahliapoint_peer::telling::Known;
 use dahliapoint_scheduler::{Budget, Id, Piece, Scheduler, Told};
 use dahliapoint_xds::Owner;
 
@@ -108,6 +109,7 @@
     figures: Arc<Mutex<Figures>>,
     views: Arc<Mutex<Vec<(&'static str, View)>>>,
     hooking: Arc<Mutex<Option<Arc<Hooking>>>>,
+    known: Arc<Mutex<Option<(Known, Differ)>>>,
     /// A hand that spoils orders, for tests of the guard.
     spoiled: Arc<Mutex<Option<Between>>>,
 }
@@ -144,6 +146,8 @@
     lines_before: u64,
     asked: Vec<(Id, Arc<Asked>)>,
     memory: Option<(Arc<Keeper>, Differ)>,
+    /// What peers are told, brought up to date once a round.
+    known: Option<(Known, Differ)>,
     hooking: Option<Arc<Hooking>>,
     /// The world as hooks last saw it, and when that was.
     world: Arc<World>,
@@ -162,10 +166,17 @@
             figures: Arc::default(),
             views: Arc::default(),
             hooking: Arc::default(),
+            known: Arc::default(),
             spoiled: Arc::default(),
         }
     }
 
+    /// Keeps what peers are told, beginning with what was known at the start.
+    pub fn tells(&self, known: Known, first: &Facts) {
+        *known.hold() = first.clone();
+        *lock(&self.known) = Some((known, Differ::since(first)));
+    }
+
     /// Hooks see what happens, from when the engine runs.
     pub fn hooked(&self, hooking: Arc<Hooking>) {
         *lock(&self.hooking) = Some(hooking);
@@ -221,6 +232,7 @@
             lines_before: 0,
             asked: Vec::new(),
             memory,
+            known: lock(&self.known).take(),
             hooking: lock(&self.hooking).take(),
             world: Arc::default(),
             seen_at: f64::NEG_INFINITY,
@@ -378,8 +390,18 @@
         outputs
     }
 
-    /// Offers what has changed to memory, without waiting.
+    /// Offers what has changed to memory and to peers, without waiting.
     fn remember(&self, work: &mut Work) {
+        if let Some((known, differ)) = &mut work.known {
+            let now = keeper::now();
+            let (servers, levels) = (work.controller.servers(), work.controller.levels());
+            let changes = differ.changes(&now, &servers, &levels);
+            let mut facts = known.hold();
+            for change in changes.into_iter().chain([Change::Alive(now)]) {
+                // Made by our own differ: always sound.
+                let _ = facts.apply(change);
+            }
+        }
         let Some((keeper, differ)) = &mut work.memory else {
             return;
         };
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -9,10 +9,13 @@
 use dahliapoint_control::{Entry, Input, Output, Owner};
 use dahliapoint_files::front::{self as files, Place};
 use dahliapoint_files::reach::Promise;
-use dahliapoint_grpc::{Limits, Server};
+use dahliapoint_grpc::{Call, Handler, Limits, Server};
 use dahliapoint_memory::ageing::{self, Recall};
-use dahliapoint_memory::facts::{Differ, Facts};
+use dahliapoint_memory::facts::{Change, Differ, Facts};
 use dahliapoint_memory::keeper::{self, Keeper};
+use dahliapoint_peer::telling::{Known, Teller};
+use dahliapoint_peer::weighing::weigh;
+use dahliapoint_peer::{asking, words};
 use dahliapoint_xds::{Front, Shape};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -71,6 +74,19 @@
                 (Some(started), facts)
             }
         };
+        let kept = facts;
+        let facts = learned(deployment, kept.clone());
+        if let Some((keeper, _)) = &memory {
+            // What was learned is remembered with the age that it has.
+            let news = facts
+                .servers
+                .values()
+                .filter(|f| kept.servers.get(&f.name) != Some(f));
+            let news: Vec<Change> = news.cloned().map(Change::Server).collect();
+            if !news.is_empty() && !keeper.offer(news) {
+                warn!("memory: what was learned is not kept yet");
+            }
+        }
         let mut watch = Watch::new(&deployment.roster, &deployment.roster_form, &terms.zones);
         let (entries, watched) = match source {
             Source::Fixed(entries) => (entries, false),
@@ -99,7 +115,15 @@
             keepalive: patience / 2,
             ..Limits::default()
         };
-        let server = Server::start(deployment.listen, limits, front.clone())
+        let known = Known::default();
+        let ways = Arc::new(Ways {
+            front: front.clone(),
+            teller: deployment.tells.then(|| {
+                engine.tells(known.clone(), &facts);
+                Teller::new(&terms.service, known, keeper::now)
+            }),
+        });
+        let server = Server::start(deployment.listen, limits, ways)
             .map_err(|e| format!("cannot listen on {}: {e}", deployment.listen))?;
         let files = match &deployment.files {
             None => None,
@@ -237,6 +261,46 @@
     }
 }
 
+/// Calls of proxies and people, and of newcomers.
+struct Ways {
+    front: Arc<Front>,
+    teller: Option<Arc<Teller>>,
+}
+
+impl Handler for Ways {
+    fn call(&self, call: Call) {
+        match &self.teller {
+            Some(teller) if call.path.starts_with(words::SERVICE) => teller.call(call),
+            _ => self.front.call(call),
+        }
+    }
+}
+
+/// What was kept, and what peers know, whichever is fresher. Whatever peers do, this ends in time.
+fn learned(deployment: &Deployment, kept: Facts) -> Facts {
+    if deployment.peers.is_empty() {
+        return kept;
+    }
+    let within = Duration::from_secs_f64(deployment.peers_within_ms / 1e3);
+    let service = &deployment.terms.service;
+    let Some(learned) = asking::ask_all(&deployment.peers, service, keeper::now, within) else {
+        warn!("no peer told anything: this starts on what it has itself");
+        return kept;
+    };
+    let (facts, counted) = weigh(
+        &keeper::now(),
+        &kept,
+        &learned,
+        deployment.terms.warm_after_ms,
+    );
+    info!(
+        ?counted,
+        whole = learned.whole,
+        "what peers know is weighed against what was kept"
+    );
+    facts
+}
+
 /// The roster that the owner begins with.
 fn entries_of(first: &[Input]) -> Vec<Entry> {
     let mut rosters = first.iter().rev().filter_map(|i| match i {
--- a/crates/import/tests/import.rs
+++ b/crates/import/tests/import.rs
@@ -62,7 +62,9 @@
 
 #[test]
 fn apache_is_read() {
-    let cases: [(&str, &[(&str, &str)], &[(&str, &str, f64, State)]); 9] = [
+    type Said<'a> = (&'a str, &'a str, f64, State);
+    type Case<'a> = (&'a str, &'a [(&'a str, &'a str)], &'a [Said<'a>]);
+    let cases: [Case; 9] = [
         (
             "members in a section",
             &[(
--- a/crates/memory/src/facts.rs
+++ b/crates/memory/src/facts.rs
@@ -34,6 +34,17 @@
     }
 }
 
+impl Stamp {
+    /// The moment so long before this one.
+    pub fn before(&self, ms: f64) -> Stamp {
+        Stamp {
+            wall_ms: self.wall_ms - ms,
+            boot: self.boot.clone(),
+            up_ms: self.up_ms - ms,
+        }
+    }
+}
+
 /// What is known of a server.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServerFact {
@@ -154,8 +165,15 @@
         let ordered = servers.iter().any(|s| s.weight > 0.0);
         for s in servers {
             let before = self.told.get(&*s.name);
+            // A share that no visit has backed since we began is what we were told, as old as it was then: a verdict
+            // does not grow young by being handed on.
+            let judged = match (s.met_ago_ms, before) {
+                (Some(ago), _) => now.before(ago),
+                (None, Some(before)) => before.judged.clone(),
+                (None, None) => now.clone(),
+            };
             let line = (ordered && s.part.is_some() && s.listed_weight > 0.0)
-                .then(|| (s.weight / s.listed_weight, now.clone()));
+                .then(|| (s.weight / s.listed_weight, judged));
             let held = || before.map_or((1.0, now.clone()), |b| (b.share, b.judged.clone()));
             let (share, judged) = line.unwrap_or_else(held);
             let mut fact = ServerFact {
@@ -179,6 +197,7 @@
             let same = before.is_some_and(|b| {
                 let moved = (b.share - fact.share).abs() > SLACK;
                 let old = fact.share < 1.0 - SLACK
+                    && fact.judged != b.judged
                     && now.since(&b.judged).is_none_or(|gap| gap >= RENEW_MS);
                 let like = |f: &ServerFact| ServerFact {
                     share: 0.0,
--- /dev/null
+++ b/crates/peer/src/asking.rs
@@ -0,0 +1,116 @@
+//! The question at a start: peers in turn, within a time for all of them. The first that tells all is enough; of those
+//! that do not, the fullest word counts.
+
+use crate::weighing::Learned;
+use crate::words::{Ask, Said, TELL, Word};
+use dahliapoint_grpc::{Code, Limits, Link, Status};
+use dahliapoint_memory::facts::Stamp;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tracing::{info, warn};
+
+/// Words that one peer may say.
+const MOST: usize = 100_000;
+
+/// Asks one peer; what came before it ended counts, whatever the end.
+pub fn ask(
+    peer: SocketAddr,
+    service: &str,
+    clock: fn() -> Stamp,
+    until: Instant,
+) -> (Learned, Option<Status>) {
+    let begun = Instant::now();
+    let mut learned = Learned::default();
+    let ended = listen(peer, service, clock, until, &mut learned).err();
+    learned.took_ms = begun.elapsed().as_secs_f64() * 1e3;
+    (learned, ended)
+}
+
+fn listen(
+    peer: SocketAddr,
+    service: &str,
+    clock: fn() -> Stamp,
+    until: Instant,
+    learned: &mut Learned,
+) -> Result<(), Status> {
+    let left = || until.saturating_duration_since(Instant::now());
+    let limits = Limits {
+        patience: left().max(Duration::from_millis(1)),
+        ..Limits::default()
+    };
+    let link = Link::dial(peer, limits)?;
+    let mut dialed = link.open(TELL, Some(left()))?;
+    let question = Ask {
+        service: service.into(),
+    };
+    let _ = dialed.outbound.send(&question);
+    dialed.outbound.half_close();
+    let (_outbound, mut inbound) = dialed.answered()?;
+    while let Some(word) = inbound.message::<Word>()? {
+        let now = clock();
+        match word.said {
+            Some(Said::Head(head)) if head.service == service => {
+                learned.runs_ms = if head.runs_ms.is_finite() {
+                    head.runs_ms.max(0.0)
+                } else {
+                    0.0
+                };
+            }
+            Some(Said::Servers(all)) => {
+                let room = MOST.saturating_sub(learned.facts.len());
+                let sound = all.servers.iter().filter_map(|w| w.fact(&now));
+                learned.facts.extend(sound.take(room));
+            }
+            Some(Said::End(end)) => learned.whole = end.servers == learned.facts.len() as u64,
+            Some(Said::Head(head)) => {
+                learned.facts.clear();
+                let why = format!("it controls {:?}", head.service);
+                return Err(Status::new(Code::FailedPrecondition, why));
+            }
+            // Of a newer peer: nothing that we know what to do with.
+            None => {}
+        }
+    }
+    Ok(())
+}
+
+/// Asks peers in turn until one tells all, or the time is over.
+pub fn ask_all(
+    peers: &[SocketAddr],
+    service: &str,
+    clock: fn() -> Stamp,
+    within: Duration,
+) -> Option<Learned> {
+    let until = Instant::now() + within;
+    let mut best: Option<Learned> = None;
+    for (i, peer) in peers.iter().enumerate() {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            break;
+        }
+        // One that hangs leaves the others their part of the time.
+        let own = Instant::now() + left / (peers.len() - i) as u32;
+        let (learned, ended) = ask(*peer, service, clock, own);
+        match &ended {
+            None if learned.whole => {
+                info!(%peer, servers = learned.facts.len(), took_ms = learned.took_ms, "learned from a peer")
+            }
+            None => warn!(%peer, servers = learned.facts.len(), "a peer's word does not add up"),
+            Some(status) => {
+                warn!(%peer, servers = learned.facts.len(), %status, "a peer did not tell all")
+            }
+        }
+        let whole = learned.whole;
+        if whole
+            || best
+                .as_ref()
+                .is_none_or(|b| b.facts.len() < learned.facts.len())
+        {
+            best = Some(learned);
+        }
+        if whole {
+            break;
+        }
+    }
+    best.filter(|b| !b.facts.is_empty())
+}
--- /dev/null
+++ b/crates/peer/src/telling.rs
@@ -0,0 +1,126 @@
+//! What a running controller tells one that asks. What would change what the asker does goes first: if the teller
+//! dies halfway, that is what has come.
+
+use crate::words::{Ask, End, Head, Said, ServerWord, Servers, TELL, Word};
+use dahliapoint_control::AdminState;
+use dahliapoint_grpc::{Call, Code, Handler, Status};
+use dahliapoint_memory::facts::{Facts, ServerFact, Stamp};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
+use tracing::{debug, info};
+
+/// Words about servers in one message.
+const BATCH: usize = 64;
+/// Askers that are answered at one time; more are told to come again.
+const MOST: usize = 4;
+/// A share below this is a verdict.
+const VERDICT: f64 = 0.95;
+
+/// What is known now; the owner writes it once a round, tellers read it.
+#[derive(Clone, Default)]
+pub struct Known(Arc<Mutex<Facts>>);
+
+impl Known {
+    /// The facts, for a moment.
+    pub fn hold(&self) -> MutexGuard<'_, Facts> {
+        self.0.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+/// How useful a word is: what is withdrawn or draining, then verdicts, the worse first, then the rest.
+fn rank(f: &ServerFact) -> (u8, u64) {
+    let away = f.shut || f.state != AdminState::Ready;
+    let class = match (away, f.share < VERDICT) {
+        (true, _) => 0,
+        (false, true) => 1,
+        (false, false) => 2,
+    };
+    // Shares are not negative: their bits are in their order.
+    (class, f.share.max(0.0).to_bits())
+}
+
+/// All that is to be told, the most useful first; the same each time.
+pub fn in_order(facts: &Facts, now: &Stamp) -> Vec<ServerWord> {
+    let mut all: Vec<&ServerFact> = facts.servers.values().collect();
+    all.sort_by(|a, b| rank(a).cmp(&rank(b)).then_with(|| a.name.cmp(&b.name)));
+    all.into_iter().map(|f| ServerWord::of(now, f)).collect()
+}
+
+/// Answers askers.
+pub struct Teller {
+    service: String,
+    known: Known,
+    begun: Instant,
+    clock: fn() -> Stamp,
+    at_work: AtomicUsize,
+}
+
+impl Teller {
+    pub fn new(service: &str, known: Known, clock: fn() -> Stamp) -> Arc<Teller> {
+        Arc::new(Teller {
+            service: service.into(),
+            known,
+            begun: Instant::now(),
+            clock,
+            at_work: AtomicUsize::new(0),
+        })
+    }
+
+    fn tell(&self, call: &mut Call) -> Result<usize, Status> {
+        let ask: Ask = match call.inbound.message()? {
+            Some(ask) => ask,
+            None => return Err(Status::new(Code::InvalidArgument, "a question is wanted")),
+        };
+        if ask.service != self.service {
+            let why = format!("this controls {:?}, not {:?}", self.service, ask.service);
+            return Err(Status::new(Code::FailedPrecondition, why));
+        }
+        // A copy: nobody waits for an asker that reads slowly.
+        let now = (self.clock)();
+        let words = in_order(&self.known.hold(), &now);
+        let head = Head {
+            service: self.service.clone(),
+            runs_ms: self.begun.elapsed().as_secs_f64() * 1e3,
+        };
+        let put = |said| Word { said: Some(said) };
+        call.outbound.send(&put(Said::Head(head)))?;
+        let many = words.len();
+        for batch in words.chunks(BATCH) {
+            let servers = batch.to_vec();
+            call.outbound
+                .send(&put(Said::Servers(Servers { servers })))?;
+        }
+        call.outbound.send(&put(Said::End(End {
+            servers: many as u64,
+        })))?;
+        Ok(many)
+    }
+}
+
+impl Handler for Teller {
+    fn call(&self, mut call: Call) {
+        if call.path != TELL {
+            let status = Status::new(Code::Unimplemented, format!("no method {}", call.path));
+            return call.outbound.finish(&status);
+        }
+        if self.at_work.fetch_add(1, Ordering::SeqCst) >= MOST {
+            self.at_work.fetch_sub(1, Ordering::SeqCst);
+            let status = Status::new(Code::ResourceExhausted, "others are asking");
+            return call.outbound.finish(&status);
+        }
+        let peer = call.peer;
+        let told = self.tell(&mut call);
+        self.at_work.fetch_sub(1, Ordering::SeqCst);
+        match told {
+            Ok(servers) => {
+                info!(%peer, servers, "a newcomer was told what is known");
+                call.outbound.finish(&Status::new(Code::Ok, ""));
+            }
+            Err(status) => {
+                debug!(%peer, %status, "a newcomer was not told");
+                call.outbound.finish(&status);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/weighing.rs
@@ -0,0 +1,310 @@
+//! Which word about a server counts: a controller's own memory, or a peer's, by age. Free of I/O, clock and chance.
+//!
+//! How it is called: [`weigh`] once, at a start, with what was kept and what a peer told. What comes out is as if it
+//! had been kept, and is aged by the same rules. The rules are gone through for each server; each decides one thing.
+
+use crate::words::ago;
+use dahliapoint_memory::facts::{Facts, ServerFact, Stamp};
+
+/// A teller that has run for less than so many times the warming time cannot say who is new: to it all are.
+const LIVED: f64 = 1.0;
+
+/// What a peer told.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Learned {
+    pub facts: Vec<ServerFact>,
+    /// All that it had to tell, to the end.
+    pub whole: bool,
+    /// How long it had run.
+    pub runs_ms: f64,
+    /// How long the asking took: what was told is that much older than it said, at the most.
+    pub took_ms: f64,
+}
+
+/// Which words counted, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counted {
+    pub own: usize,
+    pub peers: usize,
+    /// State of one, share of the other.
+    pub mixed: usize,
+}
+
+/// Two words about one server, each with its observer's own moment.
+struct Case<'a> {
+    now: &'a Stamp,
+    own: &'a ServerFact,
+    peers: &'a ServerFact,
+    /// When our own memory was last written, and how old the peer's word is.
+    own_alive: &'a Stamp,
+    took_ms: f64,
+}
+
+/// What is taken from the peer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Takes {
+    state: bool,
+    share: bool,
+}
+
+type Rule = fn(&Case, &mut Takes);
+
+const RULES: [Rule; 3] = [
+    the_fresher_eye_says_who_is_there,
+    the_fresher_judgement_says_how_well,
+    another_machine_is_judged_by_who_saw_it,
+];
+
+/// Whoever looked last says state and address: a peer that runs looks now, our own memory ended with us. Guards
+/// against a machine that was replaced while we were down. May harm if the peer's roster is behind ours: the true
+/// roster is told right after.
+fn the_fresher_eye_says_who_is_there(c: &Case, takes: &mut Takes) {
+    takes.state = match c.now.since(c.own_alive) {
+        Some(age) => age > c.took_ms,
+        None => true,
+    };
+}
+
+/// The younger judgement counts, whoever made it; of the same age our own. One whose age nobody knows is older than
+/// any. Guards against hours-old verdicts of a peer that has had no visits since: it may run and still know less.
+fn the_fresher_judgement_says_how_well(c: &Case, takes: &mut Takes) {
+    let age = |f: &ServerFact| c.now.since(&f.judged);
+    takes.share = match (age(c.own), age(c.peers)) {
+        (Some(own), Some(peers)) => peers < own,
+        (None, Some(_)) => true,
+        (_, None) => false,
+    };
+}
+
+/// A judgement is of a machine, not of a name: at another address than the one that counts it says nothing, and who
+/// saw that one is taken whole.
+fn another_machine_is_judged_by_who_saw_it(c: &Case, takes: &mut Takes) {
+    if c.own.address != c.peers.address {
+        takes.share = takes.state;
+    }
+}
+
+/// One body of facts from two. Words of the peer are made older by the time that asking took.
+pub fn weigh(now: &Stamp, own: &Facts, learned: &Learned, warm_ms: f64) -> (Facts, Counted) {
+    let mut out = own.clone();
+    let mut counted = Counted::default();
+    for told in &learned.facts {
+        let peers = aged(now, told, learned.took_ms);
+        let Some(kept) = own.servers.get(&peers.name) else {
+            counted.peers += 1;
+            out.servers.insert(peers.name.clone(), peers);
+            continue;
+        };
+        let case = Case {
+            now,
+            own: kept,
+            peers: &peers,
+            own_alive: &own.alive,
+            took_ms: learned.took_ms,
+        };
+        let mut takes = Takes::default();
+        RULES.iter().for_each(|rule| rule(&case, &mut takes));
+        let seen = if takes.state { &peers } else { kept };
+        let judged = if takes.share { &peers } else { kept };
+        match (takes.state, takes.share) {
+            (true, true) => counted.peers += 1,
+            (false, false) => counted.own += 1,
+            _ => counted.mixed += 1,
+        }
+        let fact = ServerFact {
+            share: judged.share,
+            judged: judged.judged.clone(),
+            ..seen.clone()
+        };
+        out.servers.insert(fact.name.clone(), fact);
+    }
+    // Who is missing is new only to an eye that was there, and whose word came whole. Else our own memory says since
+    // when nobody looked, and without one nobody knows.
+    if learned.whole && learned.runs_ms >= LIVED * warm_ms && !learned.facts.is_empty() {
+        out.alive = ago(now, learned.took_ms);
+    }
+    (out, counted)
+}
+
+/// A word as old as it may be. One of unknown age stays so.
+fn aged(now: &Stamp, told: &ServerFact, took_ms: f64) -> ServerFact {
+    let older = |at: &Stamp| match now.since(at) {
+        Some(age) => ago(now, age + took_ms.max(0.0)),
+        None => at.clone(),
+    };
+    ServerFact {
+        since: older(&told.since),
+        judged: older(&told.judged),
+        ..told.clone()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use dahliapoint_control::AdminState::{self, Draining, Ready};
+    use proptest::prelude::*;
+
+    const HOUR: f64 = 3.6e6;
+
+    fn now() -> Stamp {
+        Stamp {
+            wall_ms: 1e12,
+            boot: "b".into(),
+            up_ms: 1e9,
+        }
+    }
+
+    fn fact(state: AdminState, share: f64, judged_ms: f64, address: &str) -> ServerFact {
+        ServerFact {
+            name: "s".into(),
+            address: address.into(),
+            zone: "z".into(),
+            state,
+            since: ago(&now(), 1e5),
+            weight: 1.0,
+            share,
+            judged: ago(&now(), judged_ms),
+            shut: false,
+        }
+    }
+
+    fn kept(alive_ms: f64, fact: Option<ServerFact>) -> Facts {
+        Facts {
+            servers: fact.into_iter().map(|f| (f.name.clone(), f)).collect(),
+            alive: ago(&now(), alive_ms),
+            ..Facts::default()
+        }
+    }
+
+    fn told(fact: ServerFact) -> Learned {
+        Learned {
+            facts: vec![fact],
+            whole: true,
+            runs_ms: HOUR,
+            took_ms: 10.0,
+        }
+    }
+
+    #[test]
+    fn the_fresher_word_counts() {
+        // Own: when last alive, state, share, judged ago, address; the peer's the same; then what counts.
+        type Said = (AdminState, f64, f64, &'static str);
+        type Case = (
+            &'static str,
+            f64,
+            Said,
+            Said,
+            (AdminState, f64, &'static str),
+        );
+        let cases: [Case; 7] = [
+            (
+                "the peer looked last and judged last",
+                5e3,
+                (Ready, 1.0, 5e3, "a"),
+                (Draining, 0.3, 1e3, "a"),
+                (Draining, 0.3, "a"),
+            ),
+            (
+                "the peer runs, but has had no visits for hours",
+                5e3,
+                (Ready, 0.4, 6e3, "a"),
+                (Draining, 1.0, 3.0 * HOUR, "a"),
+                (Draining, 0.4, "a"),
+            ),
+            (
+                "our own memory is of a moment ago",
+                5.0,
+                (Ready, 0.4, 100.0, "a"),
+                (Draining, 1.0, 1e3, "a"),
+                (Ready, 0.4, "a"),
+            ),
+            (
+                "of the same age: our own",
+                5e3,
+                (Ready, 0.4, 1010.0, "a"),
+                (Ready, 0.9, 1e3, "a"),
+                (Ready, 0.4, "a"),
+            ),
+            (
+                "an unknown age is older than any",
+                5e3,
+                (Ready, 0.4, HOUR, "a"),
+                (Ready, 0.9, -1.0, "a"),
+                (Ready, 0.4, "a"),
+            ),
+            (
+                "and ours too",
+                5e3,
+                (Ready, 0.4, -1.0, "a"),
+                (Ready, 0.9, 9.0 * HOUR, "a"),
+                (Ready, 0.9, "a"),
+            ),
+            (
+                "a machine that took over the name",
+                5e3,
+                (Ready, 0.2, 10.0, "a"),
+                (Ready, 1.0, 2e3, "b"),
+                (Ready, 1.0, "b"),
+            ),
+        ];
+        for (name, alive, own, peers, wanted) in cases {
+            let one = |s: Said| fact(s.0, s.1, s.2, s.3);
+            let (out, _) = weigh(&now(), &kept(alive, Some(one(own))), &told(one(peers)), 1e4);
+            let f = &out.servers["s"];
+            assert_eq!((f.state, f.share, f.address.as_str()), wanted, "{name}");
+        }
+    }
+
+    #[test]
+    fn who_is_missing_is_new_only_to_who_was_there() {
+        let whole = told(fact(Ready, 1.0, 0.0, "a"));
+        let cases = [
+            ("whole, of one who has lived", whole.clone(), Some(10.0)),
+            (
+                "cut off",
+                Learned {
+                    whole: false,
+                    ..whole.clone()
+                },
+                Some(HOUR),
+            ),
+            (
+                "of a newcomer",
+                Learned {
+                    runs_ms: 5e3,
+                    ..whole.clone()
+                },
+                Some(HOUR),
+            ),
+            (
+                "of one who knows nobody",
+                Learned {
+                    facts: vec![],
+                    ..whole
+                },
+                Some(HOUR),
+            ),
+        ];
+        for (name, learned, alive) in cases {
+            let (out, _) = weigh(&now(), &kept(HOUR, None), &learned, 1e4);
+            let age = now().since(&out.alive).map(f64::round);
+            assert_eq!(age, alive, "{name}");
+        }
+    }
+
+    proptest! {
+        /// Whatever is told: a share that counts is never older than one that was set aside, and never younger than
+        /// whoever saw it said.
+        #[test]
+        fn stale_never_counts_more_than_fresh(own in 0.0..1e8, peers in 0.0..1e8, took in 0.0..1e4, alive in 0.0..1e8) {
+            let learned = Learned { took_ms: took, ..told(fact(Ready, 0.2, peers, "a")) };
+            let (out, _) = weigh(&now(), &kept(alive, Some(fact(Ready, 0.9, own, "a"))), &learned, 1e4);
+            let f = &out.servers["s"];
+            let age = now().since(&f.judged).unwrap();
+            let least = own.min(peers + took);
+            prop_assert!((age - least).abs() < 1e-3, "{age} {own} {peers}");
+            prop_assert_eq!(f.share, if own <= peers + took { 0.9 } else { 0.2 });
+        }
+    }
+}
