DNS SRV: hosts beside a roster that has the last word; silence takes nobody away

Other installations list hosts in SRV records, and a resolver that is believed brings back whom the roster has sent away. crates/dns says when to look, what an answer is worth and what holds in disagreement: DNS alone adds a host that the roster never knew, nothing else; what the roster ever had is known over restarts by memory; a failed lookup is no empty list; an answer that loses more than half has to come twice.

--- a/crates/daemon/src/deployment.rs
+++ b/crates/daemon/src/deployment.rs
@@ -3,6 +3,7 @@
 
 use crate::hooking::HooksPlace;
 use crate::importing::{Foreign, RosterForm};
+use crate::resolving::DnsPlace;
 use dahliapoint_control::ward::Guarding;
 use dahliapoint_control::{ClassTerms, FurtherTry, Terms};
 use dahliapoint_files::forms::Form;
@@ -61,6 +62,8 @@
     pub files: Option<Files>,
     /// Where what is known is kept over restarts, and the key that it is sealed with.
     pub memory: Option<(PathBuf, Option<PathBuf>)>,
+    /// SRV records beside the roster.
+    pub dns: Option<DnsPlace>,
     /// Controllers that are asked at the start, and for how long.
     pub peers: Vec<SocketAddr>,
     pub peers_within_ms: f64,
@@ -168,6 +171,8 @@
     let roster_file = roster.field("file").text(None);
     let roster_every_ms = roster.field("every").time(10.0..=60_000.0, Some(200.0));
     let roster_form = roster_form(&roster, folder, &zones);
+    let dns = roster.field("dns");
+    let dns = dns.is_there().then(|| self::dns(&dns, &zones));
     let probe = roster.field("probe");
     let may_probe = probe.is_there();
     let probe_path = probe.field("path").text(Some("/"));
@@ -284,6 +289,7 @@
         stream_patience_ms: patience,
         files,
         memory,
+        dns,
         peers: addresses.into_iter().flatten().collect(),
         peers_within_ms,
         tells,
@@ -291,6 +297,36 @@
     }
 }
 
+fn dns(at: &At, zones: &[String]) -> DnsPlace {
+    let name = at.field("name");
+    let told = name.text(None);
+    if let Err(why) = dahliapoint_dns::lookup::name(&told) {
+        name.wrong(format!(
+            "a name such as _portal._tcp.example.org is wanted: {why}"
+        ));
+    }
+    let wanted = "an address such as 127.0.0.1:53";
+    let server = at.field("server").parsed(wanted, None, |t| t.parse().ok());
+    let zone = at.field("zone");
+    let one = match zones {
+        [one] => Some(one.as_str()),
+        _ => None,
+    };
+    let told_zone = zone.text(one);
+    if !zones.contains(&told_zone) {
+        zone.wrong(format!("one of the zones {} is wanted", zones.join(", ")));
+    }
+    let place = DnsPlace {
+        name: told,
+        server: server.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 53))),
+        zone: told_zone,
+        adds: at.field("adds").flag(Some(false)),
+        within_ms: at.field("within").time(50.0..=60_000.0, Some(1_000.0)),
+    };
+    at.close();
+    place
+}
+
 /// Our own form, or others' files with what is to be known beside them.
 fn roster_form(at: &At, folder: &Path, zones: &[String]) -> RosterForm {
     let kinds = [
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod life;
 pub mod memory;
 pub mod probe;
+pub mod resolving;
 pub mod roster;
 pub mod sample;
 pub mod status;
--- a/crates/daemon/src/life.rs
+++ b/crates/daemon/src/life.rs
@@ -5,6 +5,7 @@
 use crate::hooking::Hooking;
 use crate::memory;
 use crate::probe::Prober;
+use crate::resolving::Resolving;
 use crate::roster::{Look, Watch};
 use dahliapoint_control::{Entry, Input, Output, Owner};
 use dahliapoint_files::front::{self as files, Place};
@@ -28,6 +29,9 @@
 /// Sessions of the front of files are numbered from here, those of streams below.
 const FILES: u64 = 1 << 40;
 
+/// How often it is asked whether a lookup is due.
+const LOOK_UP: Duration = Duration::from_millis(50);
+
 /// Where the servers come from.
 pub enum Source {
     /// The deployment's roster file, watched.
@@ -44,6 +48,7 @@
     owner: JoinHandle<()>,
     ending: Arc<AtomicBool>,
     watcher: Option<JoinHandle<()>>,
+    resolver: Option<JoinHandle<()>>,
     files: Option<(Arc<files::Front>, JoinHandle<()>)>,
     memory: Option<(Arc<Keeper>, JoinHandle<()>)>,
     hooks: Option<(Arc<Hooking>, JoinHandle<()>)>,
@@ -100,6 +105,20 @@
                 Look::Same => return Err("the roster was not read".into()),
             },
         };
+        let resolving = deployment.dns.clone().map(|place| {
+            let keeper = memory.as_ref().map(|(keeper, _)| keeper.clone());
+            let before = facts.servers.values();
+            let before = before.map(|f| (f.name.clone(), f.address.clone()));
+            Resolving::new(place, keeper, &facts.kept, before)
+        });
+        let entries = match &resolving {
+            None => entries,
+            Some(resolving) => {
+                // What DNS says at the start is listed at the start.
+                let alone = resolving.roster(entries);
+                resolving.look().unwrap_or(alone)
+            }
+        };
         let clock = Clock::start();
         let seed = deployment.seed.unwrap_or_else(|| {
             let now = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -180,6 +199,9 @@
         if let Some((keeper, _)) = kept.clone() {
             engine.shows("memory", Box::new(move || keeper.view()));
         }
+        if let Some(resolving) = resolving.clone() {
+            engine.shows("dns", Box::new(move || resolving.view()));
+        }
         let hooking = deployment.hooks.clone().map(Hooking::new);
         let listed = entries_of(&first);
         if let Some(hooking) = &hooking {
@@ -207,9 +229,13 @@
         };
         let ending = Arc::new(AtomicBool::new(false));
         let every = Duration::from_secs_f64(deployment.roster_every_ms / 1e3);
-        let seen = hooks.as_ref().map(|(h, _)| h.clone());
-        let watcher =
-            watched.then(|| watching(watch, every, (engine.clone(), seen), ending.clone()));
+        let deliver = Delivery {
+            engine: engine.clone(),
+            hooks: hooks.as_ref().map(|(h, _)| h.clone()),
+            resolving: resolving.clone(),
+        };
+        let watcher = watched.then(|| watching(watch, every, deliver.clone(), ending.clone()));
+        let resolver = resolving.and_then(|r| looking_up(r, deliver, ending.clone()));
         info!(xds = %server.address(), servers, service = %deployment.terms.service, "running");
         Ok(Daemon {
             server,
@@ -218,6 +244,7 @@
             owner,
             ending,
             watcher: watcher.flatten(),
+            resolver,
             files,
             memory,
             hooks,
@@ -253,8 +280,8 @@
             keeper.end();
             let _ = thread.join();
         }
-        if let Some(watcher) = self.watcher {
-            let _ = watcher.join();
+        for thread in [self.watcher, self.resolver].into_iter().flatten() {
+            let _ = thread.join();
         }
         info!(all_streams_ended = all, "ended");
         all
@@ -310,10 +337,55 @@
     rosters.next().unwrap_or_default()
 }
 
+/// The way of a roster to the owner: DNS adds to it, hooks see it.
+#[derive(Clone)]
+struct Delivery {
+    engine: Engine,
+    hooks: Option<Arc<Hooking>>,
+    resolving: Option<Arc<Resolving>>,
+}
+
+impl Delivery {
+    fn roster(&self, entries: Vec<Entry>) {
+        self.put(match &self.resolving {
+            Some(resolving) => resolving.roster(entries),
+            None => entries,
+        });
+    }
+
+    fn put(&self, entries: Vec<Entry>) {
+        match &self.hooks {
+            Some(hooks) => hooks.roster(entries),
+            None => {
+                self.engine.put(Input::Roster(entries));
+            }
+        }
+    }
+}
+
+fn looking_up(
+    resolving: Arc<Resolving>,
+    deliver: Delivery,
+    ending: Arc<AtomicBool>,
+) -> Option<JoinHandle<()>> {
+    let look = move || {
+        while !ending.load(Ordering::SeqCst) {
+            std::thread::sleep(LOOK_UP);
+            if let Some(entries) = resolving.look() {
+                deliver.put(entries);
+            }
+        }
+    };
+    let started = std::thread::Builder::new().name("dns".into()).spawn(look);
+    started
+        .map_err(|e| error!(error = %e, "DNS cannot be looked up"))
+        .ok()
+}
+
 fn watching(
     mut watch: Watch,
     every: Duration,
-    (engine, hooks): (Engine, Option<Arc<Hooking>>),
+    deliver: Delivery,
     ending: Arc<AtomicBool>,
 ) -> Option<JoinHandle<()>> {
     let look = move || {
@@ -323,17 +395,12 @@
                 Look::Same => {}
                 Look::New(entries) => {
                     info!(servers = entries.len(), "a new roster is taken");
-                    engine.roster_fault(None);
-                    match &hooks {
-                        Some(hooks) => hooks.roster(entries),
-                        None => {
-                            engine.put(Input::Roster(entries));
-                        }
-                    }
+                    deliver.engine.roster_fault(None);
+                    deliver.roster(entries);
                 }
                 Look::Refused(why) => {
                     warn!("the roster is refused, the last good one stands: {why}");
-                    engine.roster_fault(Some(why));
+                    deliver.engine.roster_fault(Some(why));
                 }
             }
         }
--- /dev/null
+++ b/crates/daemon/src/resolving.rs
@@ -0,0 +1,232 @@
+//! DNS beside the roster: a thread that looks up, and the one list that both make. The roster has the last word.
+
+use dahliapoint_control::{AdminState, Entry};
+use dahliapoint_dns::agree::{Agree, Disagreement, Listed};
+use dahliapoint_dns::lookup::look;
+use dahliapoint_dns::refresh::{Refresh, Worth};
+use dahliapoint_dns::{Answer, Target};
+use dahliapoint_memory::facts::Change;
+use dahliapoint_memory::keeper::Keeper;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+use tracing::{info, warn};
+
+/// Where memory keeps what DNS said last.
+const KEPT: (&str, &str) = ("dns", "targets");
+
+/// What a deployment says of DNS.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DnsPlace {
+    pub name: String,
+    pub server: SocketAddr,
+    /// The zone of hosts that only DNS names, and whether there are any.
+    pub zone: String,
+    pub adds: bool,
+    pub within_ms: f64,
+}
+
+struct Both {
+    agree: Agree,
+    refresh: Refresh,
+    roster: Vec<Entry>,
+    disagree: BTreeMap<String, Disagreement>,
+    added: usize,
+    /// As memory has it.
+    kept: String,
+}
+
+/// See the module's head.
+pub struct Resolving {
+    place: DnsPlace,
+    begun: Instant,
+    both: Mutex<Both>,
+    memory: Option<Arc<Keeper>>,
+}
+
+fn listed(state: AdminState) -> Listed {
+    match state {
+        AdminState::Ready => Listed::Ready,
+        AdminState::Draining => Listed::Draining,
+        AdminState::Gone => Listed::Gone,
+    }
+}
+
+/// What memory keeps: the targets, the hosts that are there by DNS alone, and all that the roster has ever had.
+#[derive(Default)]
+struct Kept {
+    targets: Vec<Target>,
+    alone: Vec<SocketAddr>,
+    names: Vec<String>,
+    addresses: Vec<SocketAddr>,
+}
+
+impl Kept {
+    fn text(targets: &[Target], alone: &[SocketAddr], agree: &Agree) -> String {
+        let one = |t: &Target| json!([t.name, t.address, t.priority, t.weight]);
+        let targets: Vec<Value> = targets.iter().map(one).collect();
+        let (names, addresses) = agree.known();
+        json!([targets, alone, names, addresses]).to_string()
+    }
+
+    fn of(text: &str) -> Option<Kept> {
+        type Form = (
+            Vec<(String, SocketAddr, u16, u16)>,
+            Vec<SocketAddr>,
+            Vec<String>,
+            Vec<SocketAddr>,
+        );
+        let (all, alone, names, addresses): Form = serde_json::from_str(text).ok()?;
+        let one = |(name, address, priority, weight)| Target {
+            name,
+            address,
+            priority,
+            weight,
+        };
+        Some(Kept {
+            targets: all.into_iter().map(one).collect(),
+            alone,
+            names,
+            addresses,
+        })
+    }
+}
+
+impl Resolving {
+    /// `kept`: what memory kept of hooks and others; `before`: hosts that it knew, with their addresses.
+    pub fn new(
+        place: DnsPlace,
+        memory: Option<Arc<Keeper>>,
+        kept: &BTreeMap<(String, String), String>,
+        before: impl Iterator<Item = (String, String)>,
+    ) -> Arc<Resolving> {
+        let text = kept.get(&(KEPT.0.to_string(), KEPT.1.to_string()));
+        let known = text.and_then(|t| Kept::of(t));
+        let mut agree = Agree::new(place.adds);
+        // Hosts that were there by DNS alone are not the roster's.
+        let empty = Kept::default();
+        let of = known.as_ref().unwrap_or(&empty);
+        let hosts =
+            before.filter_map(|(name, address)| Some((name, address.parse::<SocketAddr>().ok()?)));
+        let hosts: Vec<(String, SocketAddr)> =
+            hosts.filter(|(_, at)| !of.alone.contains(at)).collect();
+        agree.remembers(of.names.clone(), of.addresses.clone());
+        agree.remembers(hosts.iter().map(|h| h.0.clone()), hosts.iter().map(|h| h.1));
+        let known = known.map(|k| k.targets);
+        Arc::new(Resolving {
+            place,
+            begun: Instant::now(),
+            both: Mutex::new(Both {
+                agree,
+                refresh: known.map_or_else(Refresh::default, Refresh::since),
+                roster: Vec::new(),
+                disagree: BTreeMap::new(),
+                added: 0,
+                kept: String::new(),
+            }),
+            memory,
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Both> {
+        self.both.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn now_ms(&self) -> f64 {
+        self.begun.elapsed().as_secs_f64() * 1e3
+    }
+
+    /// A roster came: the list that holds.
+    pub fn roster(&self, entries: Vec<Entry>) -> Vec<Entry> {
+        let mut both = self.lock();
+        let hosts: Vec<(String, SocketAddr, Listed)> = entries
+            .iter()
+            .filter_map(|e| Some((e.name.clone(), e.address.parse().ok()?, listed(e.state))))
+            .collect();
+        both.agree.roster(&hosts);
+        both.roster = entries;
+        self.merge(&mut both)
+    }
+
+    fn merge(&self, both: &mut Both) -> Vec<Entry> {
+        let (targets, worth) = both.refresh.listed(self.now_ms());
+        let (added, disagree) = both.agree.merged(targets, worth == Worth::Fresh);
+        for (name, why) in disagree
+            .iter()
+            .filter(|(n, w)| both.disagree.get(*n) != Some(w))
+        {
+            warn!(target: "dns", "{name}: {}", why.told());
+        }
+        let mut out = both.roster.clone();
+        both.added = added.len();
+        let alone: Vec<SocketAddr> = added.iter().map(|a| a.address).collect();
+        let text = Kept::text(targets, &alone, &both.agree);
+        if let Some(memory) = &self.memory
+            && text != both.kept
+            && memory.offer(vec![Change::Kept(
+                KEPT.0.into(),
+                KEPT.1.into(),
+                text.clone(),
+            )])
+        {
+            both.kept = text;
+        }
+        out.extend(added.into_iter().map(|a| Entry {
+            name: a.name,
+            address: a.address.to_string(),
+            zone: self.place.zone.clone(),
+            state: AdminState::Ready,
+            weight: a.weight,
+            started: None,
+        }));
+        both.disagree = disagree;
+        out
+    }
+
+    /// Looks up if that is due; the list that holds now if it may be another.
+    pub fn look(&self) -> Option<Vec<Entry>> {
+        if self.now_ms() < self.lock().refresh.due() {
+            return None;
+        }
+        // Nobody waits for the lock while a server does not answer.
+        let within = Duration::from_secs_f64(self.place.within_ms / 1e3);
+        let answer = look(self.place.server, &self.place.name, within);
+        let mut both = self.lock();
+        if let Answer::Failed(why) = &answer
+            && both.refresh.last_fault.as_ref() != Some(why)
+        {
+            warn!(target: "dns", "{}: {why}; what stood stands", self.place.name);
+        }
+        let now = self.now_ms();
+        if !both.refresh.answered(now, &answer) {
+            return None;
+        }
+        let (targets, _) = both.refresh.listed(now);
+        info!(target: "dns", targets = targets.len(), "{} says something new", self.place.name);
+        Some(self.merge(&mut both))
+    }
+
+    pub fn view(&self) -> Value {
+        let both = self.lock();
+        let (targets, worth) = both.refresh.listed(self.now_ms());
+        let disagree: BTreeMap<&String, &str> =
+            both.disagree.iter().map(|(n, d)| (n, d.told())).collect();
+        json!({
+            "name": self.place.name,
+            "targets": targets.len(),
+            "worth": match worth {
+                Worth::Fresh => "fresh",
+                Worth::Stale => "stale: lookups fail, what stood stands",
+                Worth::Nothing => "it has never answered",
+            },
+            "added": both.added,
+            "disagreements": disagree,
+            "looked": both.refresh.looked,
+            "failed": both.refresh.failed,
+            "doubted": both.refresh.doubts,
+            "fault": both.refresh.last_fault,
+        })
+    }
+}
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -134,7 +134,7 @@
     let _ = writeln!(out, "channel: {}", overview["accounts"]);
     let _ = writeln!(out, "decisions: {}", overview["deciding"]);
     let _ = writeln!(out, "intake: {}", overview["intake"]);
-    for part in ["files", "memory", "guard", "hooks"] {
+    for part in ["files", "memory", "guard", "hooks", "dns"] {
         if overview[part].is_object() {
             let _ = writeln!(out, "{part}: {}", overview[part]);
         }
