--- a/crates/daemon/src/cli.rs
+++ b/crates/daemon/src/cli.rs
@@ -75,6 +75,8 @@
         #[arg(long)]
         address_file: Option<PathBuf>,
     },
+    /// Be a controller of the platform, as NODE_CONFIG says; in the foreground.
+    Node,
     /// Check a deployment file and its roster; tells all that is wrong.
     Check { file: PathBuf },
     /// Ask a running controller for its state.
@@ -186,6 +188,7 @@
             listen,
             address_file,
         } => run(file.as_deref(), record, listen, address_file.as_deref()),
+        Command::Node => dahliapoint_node::run().map_err(wrong),
         Command::Check { file } => check(&file),
         Command::Status { at, json } => ask(at, json),
         Command::Export { at, part, form } => export(at, part, form),
--- a/crates/fibers/src/lib.rs
+++ b/crates/fibers/src/lib.rs
@@ -7,12 +7,14 @@
 mod bell;
 mod pipe;
 mod queue;
+mod socket;
 mod timer;
 mod waiting;
 
 pub use bell::Bell;
 pub use pipe::{Wire, wire};
 pub use queue::{Closed, Queue, Received};
+pub use socket::{Socket, accept};
 pub use timer::{Timer, shut_at};
 
 pub use may::coroutine::JoinHandle;
@@ -92,6 +94,11 @@
     }
 }
 
+/// Lets the other coroutines run first: for one whose input never ends.
+pub fn give_way() {
+    may::coroutine::yield_now();
+}
+
 /// Waits for that long, parking the coroutine.
 pub fn sleep(time: Duration) {
     let until = Some(Instant::now() + time);
--- a/crates/fibers/src/queue.rs
+++ b/crates/fibers/src/queue.rs
@@ -95,6 +95,17 @@
         taken.unwrap_or(Received::Nothing)
     }
 
+    /// Takes the oldest that waits, or waits for one until that time: for several who share the work.
+    pub fn take_one(&self, until: Option<Instant>) -> Received<T> {
+        let taken = self.0.state.until(until, |state| {
+            if let Some(item) = state.items.pop_front() {
+                return Some(Received::Some([item].into()));
+            }
+            state.closed.then_some(Received::Closed)
+        });
+        taken.unwrap_or(Received::Nothing)
+    }
+
     /// Ends it: what waits can still be taken, nothing more comes in.
     pub fn close(&self) {
         self.0.state.change(|state| state.closed = true);
--- /dev/null
+++ b/crates/fibers/src/socket.rs
@@ -0,0 +1,120 @@
+//! A socket of one descriptor, for one coroutine at a time: every wait on it has an end, and an end
+//! that is not reached leaves nothing behind. Others may shut it.
+
+use crate::{TcpListener, TcpStream, timer};
+use may::io::WaitIo;
+use socket2::{Domain, Protocol, Type};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::os::fd::{FromRawFd, IntoRawFd};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A handle; clones are the same descriptor, closed with the last of them.
+#[derive(Clone)]
+pub struct Socket(Arc<TcpStream>);
+
+/// Takes the next who connects.
+///
+/// # Errors
+/// Whatever the system says; at the limit of descriptors this returns at once each time.
+pub fn accept(listener: &TcpListener) -> io::Result<(Socket, SocketAddr)> {
+    let (stream, from) = listener.accept()?;
+    stream.set_nodelay(true)?;
+    Ok((Socket(Arc::new(stream)), from))
+}
+
+impl Socket {
+    /// Connects, for at most that long. Given up, its descriptor is closed at once, also while the
+    /// other side gives no sign.
+    ///
+    /// # Errors
+    /// When nobody listens there, or none answers in time.
+    pub fn dial(to: SocketAddr, patience: Duration) -> io::Result<Socket> {
+        crate::set_up();
+        let until = Instant::now() + patience;
+        let fresh =
+            socket2::Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
+        fresh.set_nonblocking(true)?;
+        fresh.set_tcp_nodelay(true)?;
+        let begun = match fresh.connect(&to.into()) {
+            Ok(()) => true,
+            Err(e) if e.raw_os_error() == Some(IN_PROGRESS) => false,
+            Err(e) => return Err(e),
+        };
+        // SAFETY: the descriptor is open, a stream socket, and owned by nobody else from here on.
+        let stream = unsafe { TcpStream::from_raw_fd(fresh.into_raw_fd()) };
+        let socket = Socket(Arc::new(stream));
+        if begun {
+            return Ok(socket);
+        }
+        socket.try_until(Some(until), |stream| {
+            if let Some(e) = stream.take_error()? {
+                return Err(e);
+            }
+            match stream.peer_addr() {
+                Err(e) if e.kind() == io::ErrorKind::NotConnected => {
+                    Err(io::ErrorKind::WouldBlock.into())
+                }
+                other => other.map(|_| ()),
+            }
+        })?;
+        Ok(socket)
+    }
+
+    /// Tries until it does not say that it would block; the end is [`io::ErrorKind::TimedOut`].
+    fn try_until<T>(
+        &self,
+        until: Option<Instant>,
+        mut attempt: impl FnMut(&std::net::TcpStream) -> io::Result<T>,
+    ) -> io::Result<T> {
+        let mut ends: Option<timer::Timer> = None;
+        loop {
+            match attempt(self.0.inner()) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                other => return other,
+            }
+            if let Some(at) = until {
+                if Instant::now() >= at {
+                    return Err(io::ErrorKind::TimedOut.into());
+                }
+                if ends.as_ref().is_none_or(timer::Timer::is_over) {
+                    ends = Some(timer::wake(at, self.0.waker()));
+                }
+            }
+            self.0.wait_io();
+        }
+    }
+
+    /// Reads what there is; 0: the other side has ended.
+    ///
+    /// # Errors
+    /// `TimedOut` if nothing came by then; else what the system says.
+    pub fn read(&self, buffer: &mut [u8], until: Option<Instant>) -> io::Result<usize> {
+        self.try_until(until, |mut stream| stream.read(buffer))
+    }
+
+    /// Hands all of it to the system.
+    ///
+    /// # Errors
+    /// How many bytes were handed over before it broke or the time was up.
+    pub fn write_all(&self, bytes: &[u8], until: Instant) -> Result<(), usize> {
+        let mut done = 0;
+        while done < bytes.len() {
+            match self.try_until(Some(until), |mut stream| stream.write(&bytes[done..])) {
+                Ok(0) | Err(_) => return Err(done),
+                Ok(n) => done += n,
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends it for whoever waits on it.
+    pub fn shut(&self) {
+        let _ = self.0.inner().shutdown(Shutdown::Both);
+    }
+}
+
+/// `EINPROGRESS` on Linux.
+const IN_PROGRESS: i32 = 115;
--- a/crates/fibers/src/timer.rs
+++ b/crates/fibers/src/timer.rs
@@ -5,6 +5,7 @@
 //! nothing here uses its time-outs; a wait with an end is a wait without one, and a timer that ends it.
 
 use crate::TcpStream;
+use may::io::WaitIoWaker;
 use may::sync::Blocker;
 use std::io;
 use std::net::Shutdown;
@@ -17,6 +18,7 @@
 enum What {
     Unpark(Arc<Blocker>),
     Shut(std::net::TcpStream),
+    Wake(WaitIoWaker),
 }
 
 type Task = Arc<Mutex<Option<What>>>;
@@ -138,6 +140,7 @@
     match what {
         Some(What::Unpark(blocker)) => blocker.unpark(),
         Some(What::Shut(socket)) => drop(socket.shutdown(Shutdown::Both)),
+        Some(What::Wake(waker)) => waker.wakeup(),
         None => {}
     }
 }
@@ -163,6 +166,11 @@
     timers().set(at, What::Unpark(blocker.clone()))
 }
 
+/// Wakes who waits on a socket at a point in time; the socket stays as it is.
+pub(crate) fn wake(at: Instant, waker: WaitIoWaker) -> Timer {
+    timers().set(at, What::Wake(waker))
+}
+
 /// Shuts a socket down at a point in time, unless the timer is dropped before: reads and writes that
 /// wait on it then end.
 ///
--- /dev/null
+++ b/crates/node/src/configuration.rs
@@ -0,0 +1,91 @@
+//! The configuration file (DEPLOY, "What a controller is told").
+
+use dahliapoint_opening::Deployment;
+use dahliapoint_platform::discovery::{self, List};
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// What this controller is told at its start, and again with each new configuration.
+#[derive(Debug)]
+pub struct Assignment {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub relay: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub deployment: Deployment,
+    pub known: List,
+}
+
+#[derive(Deserialize)]
+struct Told {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    #[serde(default)]
+    seed: String,
+    limits: Limits,
+    distributor: Relay,
+    known: Option<Value>,
+    settings: Value,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+#[derive(Deserialize)]
+struct Relay {
+    address: SocketAddr,
+}
+
+/// Reads it whole and checks it.
+///
+/// # Errors
+/// The file, the field and what is wanted, in one line.
+pub fn read(path: &Path) -> Result<Assignment, String> {
+    let name = path.display();
+    let bytes = std::fs::read(path).map_err(|e| format!("{name}: {e}"))?;
+    parse(&bytes).map_err(|e| format!("{name}: {e}"))
+}
+
+fn parse(bytes: &[u8]) -> Result<Assignment, String> {
+    let mut from = serde_json::Deserializer::from_slice(bytes);
+    let told: Told = serde_path_to_error::deserialize(&mut from).map_err(|e| {
+        let path = e.path().to_string();
+        match path.as_str() {
+            "." => e.inner().to_string(),
+            _ => format!("field {path:?}: {}", e.inner()),
+        }
+    })?;
+    from.end().map_err(|e| e.to_string())?;
+    let deployment = dahliapoint_opening::deployment(&told.settings)?;
+    let known = match told.known {
+        None | Some(Value::Null) => List {
+            index: 0,
+            whole: true,
+            entries: Vec::new(),
+            left_out: Vec::new(),
+        },
+        Some(value) => discovery::read_value(value, &deployment.zones)
+            .map_err(|e| format!("field \"known\": {e}"))?,
+    };
+    // Chance only: a seed of another form is as good as any.
+    let digits = told.seed.bytes().filter(u8::is_ascii_hexdigit);
+    let digits = digits.filter_map(|b| char::from(b).to_digit(16));
+    let seed = digits.fold(0_u64, |seed, d| (seed << 4) | u64::from(d));
+    Ok(Assignment {
+        name: told.name,
+        listen: told.listen,
+        discovery: told.discovery,
+        relay: told.distributor.address,
+        seed,
+        sockets: told.limits.sockets,
+        deployment,
+        known,
+    })
+}
--- /dev/null
+++ b/crates/node/src/door.rs
@@ -0,0 +1,199 @@
+//! The controller's address: whoever connects, and for how long.
+//!
+//! The rules, in their order:
+//! 1. `probe` is answered `alive` at once, whoever asks and whatever else goes on.
+//! 2. Who has not joined and has asked nothing is closed [`JOIN_WITHIN`] after connecting; who has
+//!    asked for a sign of life, [`KEPT`] after the last time.
+//! 3. Who sends what cannot be read, reports before joining, or a line without end is told `error`
+//!    and closed; a collector is only closed (nothing is ever written to it).
+//! 4. A spoilt line of a collector is left out and counted; its neighbours count.
+//! 5. When the budget of connections is full, the oldest that has not joined goes.
+//! 6. A zone holds at most [`MOST_OF_A_ZONE`] collectors: the one that was silent longest goes. So one
+//!    whose stream went silent keeps nobody out, and a stranger takes no good one's place at once.
+
+use crate::reach::Shared;
+use dahliapoint_fibers::{Socket, TcpListener, accept, give_way, sleep, spawn};
+use dahliapoint_platform::arriving::{self, Said};
+use dahliapoint_platform::core::Input;
+use dahliapoint_platform::lines::Lines;
+use dahliapoint_platform::words::Fault;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// PROTOCOL (DAYS, "Bad clients") lets one that has not joined within 1 s be closed.
+const JOIN_WITHIN: Duration = Duration::from_secs(1);
+const KEPT: Duration = Duration::from_secs(10);
+/// A collector that has said nothing for so long has gone; they report each second.
+const SILENT: Duration = Duration::from_secs(60);
+const MOST_OF_A_ZONE: usize = 4;
+/// What somebody who has not joined may say in one line.
+const MOST_BEFORE_JOINING: usize = 4096;
+/// A reader that does not take a short answer for so long is none.
+const TAKEN_WITHIN: Duration = Duration::from_millis(500);
+/// What is kept of the limit on descriptors for relay, discovery, probes, the runtime and those whose
+/// end is under way.
+const KEPT_BACK: usize = 72;
+
+struct Guest {
+    socket: Socket,
+    zone: Option<usize>,
+    heard: Instant,
+}
+
+pub struct Door {
+    reach: Shared,
+    /// By number, so that the oldest is the first.
+    guests: Mutex<BTreeMap<u64, Guest>>,
+    most: usize,
+}
+
+/// Lets people in for good.
+pub fn open(reach: Shared, listener: TcpListener, sockets: usize) {
+    let door = Arc::new(Door {
+        reach,
+        guests: Mutex::new(BTreeMap::new()),
+        most: sockets.saturating_sub(KEPT_BACK).max(16),
+    });
+    spawn(move || {
+        let mut number = 0;
+        loop {
+            match accept(&listener) {
+                Ok((socket, _)) => {
+                    number += 1;
+                    door.let_in(number, socket);
+                }
+                Err(e) => {
+                    // Out of descriptors, most likely: room is made, and others get their turn.
+                    door.reach.teller.fault("accepting", || e.to_string());
+                    door.make_room();
+                    sleep(Duration::from_millis(20));
+                }
+            }
+        }
+    });
+}
+
+impl Door {
+    fn guests(&self) -> MutexGuard<'_, BTreeMap<u64, Guest>> {
+        self.guests.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Rule 5.
+    fn make_room(&self) {
+        let mut guests = self.guests();
+        let oldest = guests.iter().find(|(_, g)| g.zone.is_none());
+        if let Some(number) = oldest.map(|(n, _)| *n)
+            && let Some(guest) = guests.remove(&number)
+        {
+            guest.socket.shut();
+            drop(guests);
+            self.reach.teller.fault("connections", || {
+                "the budget is full: the oldest stranger goes".into()
+            });
+        }
+    }
+
+    fn let_in(self: &Arc<Self>, number: u64, socket: Socket) {
+        if self.guests().len() >= self.most {
+            self.make_room();
+        }
+        let guest = Guest {
+            socket: socket.clone(),
+            zone: None,
+            heard: Instant::now(),
+        };
+        self.guests().insert(number, guest);
+        let door = self.clone();
+        spawn(move || {
+            door.attend(number, &socket);
+            // Ended before it is forgotten: the other handle may be held a moment longer.
+            socket.shut();
+            door.guests().remove(&number);
+        });
+    }
+
+    /// Rule 6.
+    fn joins(&self, number: u64, zone: usize) {
+        let mut guests = self.guests();
+        let there = guests
+            .iter()
+            .filter(|(n, g)| g.zone == Some(zone) && **n != number);
+        if there.clone().count() >= MOST_OF_A_ZONE {
+            let silent = there.min_by_key(|(_, g)| g.heard).map(|(n, _)| *n);
+            if let Some(gone) = silent.and_then(|n| guests.remove(&n)) {
+                gone.socket.shut();
+            }
+        }
+        if let Some(guest) = guests.get_mut(&number) {
+            guest.zone = Some(zone);
+        }
+    }
+
+    fn heard(&self, number: u64) {
+        if let Some(guest) = self.guests().get_mut(&number) {
+            guest.heard = Instant::now();
+        }
+    }
+
+    fn attend(&self, number: u64, socket: &Socket) {
+        let mut lines = Lines::of(MOST_BEFORE_JOINING);
+        let mut zone = None;
+        let mut until = Instant::now() + JOIN_WITHIN;
+        let mut buffer = [0; 4096];
+        loop {
+            let n = match socket.read(&mut buffer, Some(until)) {
+                Ok(0) | Err(_) => return,
+                Ok(n) => n,
+            };
+            lines.push(&buffer[..n]);
+            let mut inputs = Vec::new();
+            while let Some(line) = lines.next_line() {
+                let said = match line {
+                    Ok(line) => arriving::read(line, &self.reach.deployment),
+                    Err(_) => Err(Fault::Unreadable),
+                };
+                match said {
+                    Ok(Said::Probe) => {
+                        if socket
+                            .write_all(b"alive\r\n", Instant::now() + TAKEN_WITHIN)
+                            .is_err()
+                        {
+                            return;
+                        }
+                        if zone.is_none() {
+                            until = Instant::now() + KEPT;
+                        }
+                    }
+                    Ok(Said::Agent { zone: named }) => {
+                        zone = Some(named);
+                        self.joins(number, named);
+                    }
+                    Ok(Said::Report(report)) if zone.is_some() => {
+                        inputs.push(Input::Report(report))
+                    }
+                    Err(Fault::Spoilt(field)) if zone.is_some() => {
+                        let told = || format!("a line's field {field:?} is no good: left out");
+                        self.reach.teller.fault("report", told);
+                    }
+                    Ok(Said::Report(_)) | Err(_) => {
+                        self.reach.put(inputs);
+                        let told = || "what cannot be read, or reports before joining".into();
+                        self.reach.teller.fault("closed", told);
+                        if zone.is_none() {
+                            let _ = socket.write_all(b"error\r\n", Instant::now() + TAKEN_WITHIN);
+                        }
+                        return;
+                    }
+                }
+            }
+            if zone.is_some() {
+                lines.allow(arriving::MOST_BYTES);
+                until = Instant::now() + SILENT;
+                self.heard(number);
+            }
+            self.reach.put(inputs);
+            give_way();
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,16 @@
+//! A controller of the platform: sockets by `dahliapoint_fibers`, decisions by `dahliapoint_platform`.
+//!
+//! Whatever comes is put into one bounded queue; the owner, the main thread, takes all that came within
+//! a tick as one moment and has the core decide once. Nothing is written to disk.
+
+mod configuration;
+mod door;
+mod life;
+mod owner;
+mod probes;
+mod reach;
+mod relay;
+mod tell;
+mod watch;
+
+pub use life::run;
--- /dev/null
+++ b/crates/node/src/watch.rs
@@ -0,0 +1,188 @@
+//! Discovery's watch. After missed beats, or with a new address, a second one is opened beside the
+//! first, which ends once the second has brought anything. While discovery is down the last list stands.
+
+use crate::reach::{Addresses, Shared};
+use dahliapoint_fibers::{Socket, give_way, sleep, spawn};
+use dahliapoint_platform::chunks::Chunks;
+use dahliapoint_platform::core::Input;
+use dahliapoint_platform::discovery;
+use dahliapoint_platform::lines::Lines;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+const DIAL: Duration = Duration::from_millis(700);
+const WRITTEN_WITHIN: Duration = Duration::from_millis(300);
+/// An empty line arrives every 2 s while nothing changes (PROTOCOL, "Discovery").
+const SILENT: Duration = Duration::from_millis(2600);
+/// A silent watch beside whose successor is none the better is given up.
+const GIVEN_UP: Duration = Duration::from_secs(20);
+const LOOK: Duration = Duration::from_millis(200);
+const MOST_HEAD: usize = 8192;
+const MOST_LINE: usize = 1 << 20;
+
+/// Watches for good.
+pub fn begin(reach: &Shared) {
+    let reach = reach.clone();
+    spawn(move || watcher(reach, Arc::new(AtomicBool::new(false))));
+}
+
+fn watcher(reach: Shared, brought: Arc<AtomicBool>) {
+    let mut attempt = 0;
+    loop {
+        let at = reach.addresses();
+        let ended = match Socket::dial(at.discovery, DIAL) {
+            Ok(socket) => {
+                let ended = watch(&reach, &socket, at, &brought);
+                socket.shut();
+                ended
+            }
+            Err(e) => Ended::Broken(e.to_string()),
+        };
+        match ended {
+            Ended::Replaced => return,
+            Ended::Broken(why) => {
+                if brought.swap(false, Ordering::AcqRel) {
+                    attempt = 0;
+                }
+                reach
+                    .teller
+                    .fault("discovery", || format!("{}: {why}", at.discovery));
+                sleep(reach.wait(attempt));
+                attempt += 1;
+            }
+        }
+    }
+}
+
+enum Ended {
+    Replaced,
+    Broken(String),
+}
+
+/// The length of an answer's head and whether its body is chunked; none until all of it has come.
+fn head(bytes: &[u8]) -> Result<Option<(usize, bool)>, String> {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut answer = httparse::Response::new(&mut headers);
+    match answer.parse(bytes).map_err(|e| e.to_string())? {
+        httparse::Status::Partial if bytes.len() > MOST_HEAD => Err("a head without end".into()),
+        httparse::Status::Partial => Ok(None),
+        httparse::Status::Complete(length) => {
+            let code = answer.code.unwrap_or(0);
+            if code != 200 {
+                return Err(format!("answer {code}"));
+            }
+            let chunked = answer.headers.iter().any(|h| {
+                h.name.eq_ignore_ascii_case("transfer-encoding")
+                    && h.value.to_ascii_lowercase().ends_with(b"chunked")
+            });
+            Ok(Some((length, chunked)))
+        }
+    }
+}
+
+fn watch(reach: &Shared, socket: &Socket, at: Addresses, brought: &AtomicBool) -> Ended {
+    let after = reach.index.load(Ordering::Acquire);
+    let ask = format!(
+        "GET /api/targets?watch=1&after={after} HTTP/1.1\r\nHost: {}\r\n\r\n",
+        at.discovery
+    );
+    if socket
+        .write_all(ask.as_bytes(), Instant::now() + WRITTEN_WITHIN)
+        .is_err()
+    {
+        return Ended::Broken("the watch could not be asked for".into());
+    }
+    let mut heard = Instant::now();
+    let mut buffer = [0; 8192];
+    let mut held: Vec<u8> = Vec::new();
+    let mut body: Option<(Option<Chunks>, Lines)> = None;
+    let mut successor: Option<Arc<AtomicBool>> = None;
+    loop {
+        let read = socket.read(&mut buffer, Some(Instant::now() + LOOK));
+        if let Some(successor) = &successor
+            && (successor.load(Ordering::Acquire) || heard.elapsed() > GIVEN_UP)
+        {
+            return Ended::Replaced;
+        }
+        let n = match read {
+            Ok(n) if n > 0 => n,
+            Err(e) if e.kind() == std::io::ErrorKind::TimedOut => {
+                let moved = reach.addresses().turn != at.turn;
+                if successor.is_none() && (moved || heard.elapsed() > SILENT) {
+                    let why = if moved { "other address" } else { "silent" };
+                    let text = format!(
+                        "discovery: {}: {why}: a second watch beside it",
+                        at.discovery
+                    );
+                    reach.teller.note(&text);
+                    let told = Arc::new(AtomicBool::new(false));
+                    successor = Some(told.clone());
+                    let reach = reach.clone();
+                    spawn(move || watcher(reach, told));
+                }
+                continue;
+            }
+            Ok(_) | Err(_) if successor.is_some() => return Ended::Replaced,
+            Ok(_) => return Ended::Broken("the watch ended".into()),
+            Err(e) => return Ended::Broken(e.to_string()),
+        };
+        heard = Instant::now();
+        held.extend_from_slice(&buffer[..n]);
+        if body.is_none() {
+            match head(&held) {
+                Ok(None) => continue,
+                Ok(Some((length, chunked))) => {
+                    held.drain(..length);
+                    body = Some((chunked.then(Chunks::default), Lines::of(MOST_LINE)));
+                }
+                Err(why) => return Ended::Broken(why),
+            }
+        }
+        let Some((chunks, lines)) = &mut body else {
+            continue;
+        };
+        let goes_on = match chunks {
+            None => {
+                lines.push(&held);
+                true
+            }
+            Some(chunks) => {
+                let mut plain = Vec::new();
+                let goes_on = chunks.push(&held, &mut plain);
+                lines.push(&plain);
+                match goes_on {
+                    Ok(goes_on) => goes_on,
+                    Err(_) => return Ended::Broken("what comes is not chunked".into()),
+                }
+            }
+        };
+        held.clear();
+        let mut inputs = Vec::new();
+        while let Some(line) = lines.next_line() {
+            let Ok(line) = line else {
+                return Ended::Broken("a line without end".into());
+            };
+            if line.is_empty() {
+                brought.store(true, Ordering::Release);
+                continue;
+            }
+            match discovery::read(line, &reach.deployment.zones) {
+                Ok(list) => {
+                    brought.store(true, Ordering::Release);
+                    inputs.push(Input::List(list));
+                }
+                // What it held is told again by the next watch, after the version that stands.
+                Err(why) => {
+                    reach.put(inputs);
+                    return Ended::Broken(format!("a line that is no list: {why}"));
+                }
+            }
+        }
+        reach.put(inputs);
+        if !goes_on {
+            return Ended::Broken("the watch ended".into());
+        }
+        give_way();
+    }
+}
--- /dev/null
+++ b/crates/opening/src/lib.rs
@@ -0,0 +1,168 @@
+//! The platform's settings object, as an instance is given it at its start, turned into what the
+//! planner is told. Used by the adapter on the simulator's wire and by the controller on sockets.
+
+use dahliapoint::{Admission, Class, Opening, Tries};
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer};
+use serde_json::Value;
+
+fn ms(ns: u64) -> f64 {
+    ns as f64 / 1e6
+}
+
+/// The settings, by their names on the wire. What no decision uses is not read.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Told {
+    lanes: Vec<Lane>,
+    zones: Vec<String>,
+    rules: Bounds,
+    specifics: Facts,
+    limits: Allowed,
+    #[serde(default)]
+    registry_mode: String,
+    #[serde(default, deserialize_with = "time")]
+    tick_ns: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Lane {
+    #[serde(default)]
+    name: String,
+    #[serde(deserialize_with = "time")]
+    aim_ns: f64,
+    #[serde(deserialize_with = "positive")]
+    credit: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Bounds {
+    #[serde(deserialize_with = "positive")]
+    cold_from: f64,
+    #[serde(deserialize_with = "positive")]
+    fall_multiple: f64,
+    #[serde(deserialize_with = "time")]
+    ramp_time_ns: f64,
+    #[serde(default)]
+    soft_removal: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Facts {
+    #[serde(default)]
+    admit: String,
+    #[serde(default)]
+    base_mode: u64,
+    #[serde(deserialize_with = "positive")]
+    most_waiting: f64,
+    #[serde(deserialize_with = "positive")]
+    egress_per_s: f64,
+    #[serde(deserialize_with = "time")]
+    push_delay_ns: f64,
+    #[serde(deserialize_with = "positive")]
+    overhead: f64,
+    #[serde(default, deserialize_with = "positive")]
+    standing: f64,
+    #[serde(default, deserialize_with = "positive")]
+    messages_most: f64,
+    #[serde(default, deserialize_with = "time")]
+    reload_span_ns: f64,
+    #[serde(deserialize_with = "time")]
+    report_every_ns: f64,
+    #[serde(deserialize_with = "positive")]
+    ingest_rate: f64,
+    #[serde(default)]
+    shards: u64,
+    #[serde(default)]
+    proxies: usize,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Allowed {
+    #[serde(default)]
+    probing: bool,
+    #[serde(deserialize_with = "time")]
+    conn_idle_ns: f64,
+}
+
+fn time<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    u64::deserialize(from).map(ms)
+}
+
+fn positive<'de, D: Deserializer<'de>>(from: D) -> Result<f64, D::Error> {
+    let value = f64::deserialize(from)?;
+    if value < 0.0 {
+        return Err(D::Error::custom("a number from 0 up is wanted"));
+    }
+    Ok(value)
+}
+
+/// What the platform tells of a deployment: the planner's opening, and the names that its messages use.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub opening: Opening,
+    pub zones: Vec<String>,
+    pub classes: Vec<String>,
+    /// Proxies are numbered from 0 to this less 1.
+    pub proxies: usize,
+    /// What comes within this time is one moment (ms).
+    pub tick_ms: f64,
+}
+
+/// The settings as the planner is told them, and the names beside.
+///
+/// # Errors
+/// The field at fault and what is wanted, in one sentence.
+pub fn deployment(settings: &Value) -> Result<Deployment, String> {
+    let told: Told = serde_path_to_error::deserialize(settings)
+        .map_err(|e| format!("field \"settings.{}\": {}", e.path(), e.inner()))?;
+    if told.lanes.len() > 32 {
+        return Err("field \"settings.lanes\" has more classes than a mask can name".into());
+    }
+    let class = |lane: &Lane| Class {
+        soft_limit_ms: lane.aim_ns,
+        earnings: lane.credit,
+    };
+    let (facts, bounds) = (&told.specifics, &told.rules);
+    let opening = Opening {
+        zones: told.zones.len(),
+        classes: told.lanes.iter().map(class).collect(),
+        admission: match facts.admit.as_str() {
+            "fraction" => Admission::Share,
+            _ => Admission::Unused,
+        },
+        most_waiting: facts.most_waiting,
+        lines_per_ms: facts.egress_per_s / 1000.0,
+        way_ms: facts.push_delay_ns,
+        message_lines: facts.overhead,
+        idle_ms: told.limits.conn_idle_ns,
+        standing_lines: facts.standing,
+        most_messages: facts.messages_most,
+        message_span_ms: facts.reload_span_ns,
+        report_every_ms: facts.report_every_ns,
+        reports_per_ms: facts.ingest_rate / 1000.0,
+        cold_share: bounds.cold_from,
+        warm_after_ms: bounds.ramp_time_ns,
+        fall_multiple: bounds.fall_multiple,
+        dropped_may_stay: bounds.soft_removal,
+        usual_tries: match facts.base_mode {
+            0 => Tries::Never,
+            1 => Tries::OnProof,
+            _ => Tries::OnFailure,
+        },
+        may_probe: told.limits.probing,
+        must_ask: told.registry_mode == "ask",
+        sliced: facts.shards > 0,
+    };
+    Ok(Deployment {
+        opening,
+        classes: told.lanes.iter().map(|lane| lane.name.clone()).collect(),
+        proxies: facts.proxies,
+        tick_ms: told.tick_ns,
+        zones: told.zones,
+    })
+}
--- /dev/null
+++ b/crates/platform/src/core.rs
@@ -0,0 +1,372 @@
+//! The core: inputs of one moment in, what is to be done out. It drives the one planner directly and
+//! decides nothing itself beyond the rules of [`crate::delivery`] and [`crate::joined`].
+
+use crate::arriving::Report;
+use crate::delivery::{Call, Delivery, Outcome, Returned};
+use crate::discovery::List;
+use crate::joined::{Change, Joined};
+use crate::places::Places;
+use crate::relay::{Names, News, Order};
+use dahliapoint::rules::Planner;
+use dahliapoint::{Extent, Listed, Met, Orders, Standing};
+use dahliapoint_opening::Deployment;
+use std::net::SocketAddr;
+
+/// One thing that happened.
+#[derive(Clone, Debug)]
+pub enum Input {
+    List(List),
+    News {
+        follower: u32,
+        news: News,
+    },
+    /// A follower's connection is over.
+    Unfollowed {
+        follower: u32,
+    },
+    Report(Report),
+    Probed {
+        probe: Asked,
+        fine: bool,
+        took_ms: f64,
+    },
+    /// A probe that was never sent tells nothing of the server.
+    Unasked(Asked),
+    Called {
+        number: u64,
+        outcome: Outcome,
+    },
+}
+
+/// What a probe was sent to: an index, and which name's turn it was.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Asked {
+    pub server: usize,
+    pub turn: u32,
+}
+
+/// What is to be done.
+#[derive(Debug, Default)]
+pub struct Effects {
+    pub call: Option<Call>,
+    pub probes: Vec<(Asked, SocketAddr)>,
+    /// Call again at this time at the latest.
+    pub wake_at: Option<f64>,
+    /// For the operators' log.
+    pub notes: Vec<String>,
+}
+
+/// Counts of what was left out, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Tally {
+    pub reports: u64,
+    /// Reports that named a server or a proxy that is not known.
+    pub strangers: u64,
+    pub old_lists: u64,
+}
+
+struct NamesOf<'a>(&'a Places, &'a Deployment);
+
+impl Names for NamesOf<'_> {
+    fn server(&self, index: usize) -> &str {
+        &self.0.all[index].name
+    }
+
+    fn class(&self, index: usize) -> &str {
+        &self.1.classes[index]
+    }
+}
+
+pub struct Core {
+    planner: Planner,
+    told: Deployment,
+    places: Places,
+    joined: Joined,
+    delivery: Delivery,
+    /// The newest list's version.
+    index: u64,
+    alarm: Option<f64>,
+    pub tally: Tally,
+}
+
+impl Core {
+    /// Begins at that time, with the list as it was last known.
+    pub fn begun(now: f64, seed: u64, told: Deployment, known: &List) -> Core {
+        let opening = &told.opening;
+        let backlog_ms = opening.most_waiting / opening.lines_per_ms.max(f64::MIN_POSITIVE);
+        let mut core = Core {
+            planner: Planner::begun(now, seed, opening),
+            places: Places::default(),
+            joined: Joined::default(),
+            delivery: Delivery::of(opening.way_ms, backlog_ms),
+            index: known.index,
+            alarm: Some(now),
+            tally: Tally::default(),
+            told,
+        };
+        core.listed(now, known, Extent::Remembered);
+        core
+    }
+
+    /// The version to ask discovery for the changes after.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    pub fn joined(&self) -> usize {
+        self.joined.count()
+    }
+
+    pub fn waiting(&self) -> (usize, usize) {
+        self.delivery.waiting()
+    }
+
+    /// Takes all that came at one moment, decides once, and tells what is to be done.
+    pub fn step(&mut self, now: f64, inputs: impl IntoIterator<Item = Input>) -> Effects {
+        let (mut effects, mut returned) = (Effects::default(), Returned::default());
+        let mut told = false;
+        for input in inputs {
+            told |= self.take(now, input, &mut returned);
+        }
+        if self.alarm.is_some_and(|at| at <= now) {
+            (self.alarm, told) = (None, true);
+        }
+        if told {
+            self.decide(now, &mut effects);
+        }
+        // What a doubt gives back is news to the planner: once more, and no more than that.
+        effects.call = self.next_call(now, &mut returned);
+        if !returned.unbound.is_empty() {
+            self.give_back(std::mem::take(&mut returned.unbound));
+            self.decide(now, &mut effects);
+            if effects.call.is_none() {
+                effects.call = self.next_call(now, &mut returned);
+            }
+        }
+        effects.notes.append(&mut returned.notes);
+        let wakes = self.alarm.into_iter().chain(self.delivery.wake());
+        effects.wake_at = wakes.min_by(f64::total_cmp);
+        effects
+    }
+
+    fn next_call(&mut self, now: f64, returned: &mut Returned) -> Option<Call> {
+        let names = NamesOf(&self.places, &self.told);
+        let joined = &self.joined;
+        let stands = |(proxy, turn)| joined.is_joined(proxy) && joined.turn(proxy) == turn;
+        self.delivery.next(now, &names, &stands, returned)
+    }
+
+    /// Tells whether the planner was told anything.
+    fn take(&mut self, now: f64, input: Input, returned: &mut Returned) -> bool {
+        match input {
+            Input::List(list) => {
+                let extent = match list.whole {
+                    true => Extent::Whole,
+                    false => Extent::Changes,
+                };
+                // Versions never go back; a list told twice changes nothing.
+                if list.index < self.index || list.index == self.index && !list.whole {
+                    self.tally.old_lists += 1;
+                    return false;
+                }
+                for fault in &list.left_out {
+                    returned
+                        .notes
+                        .push(format!("list {}: left out: {fault}", list.index));
+                }
+                self.index = list.index;
+                self.listed(now, &list, extent);
+                true
+            }
+            Input::News { follower, news } => self.news(now, follower, news),
+            Input::Unfollowed { follower } => {
+                self.joined.ended(follower);
+                false
+            }
+            Input::Report(report) => self.report(now, &report),
+            Input::Probed {
+                probe,
+                fine,
+                took_ms,
+            } => {
+                let Some(place) = self.places.all.get_mut(probe.server) else {
+                    return false;
+                };
+                if place.turn != probe.turn {
+                    return false;
+                }
+                place.asked = false;
+                self.planner
+                    .probe_answered(now, probe.server, fine, took_ms);
+                true
+            }
+            Input::Unasked(probe) => {
+                let place = self.places.all.get_mut(probe.server);
+                if let Some(place) = place.filter(|p| p.turn == probe.turn) {
+                    place.asked = false;
+                }
+                false
+            }
+            Input::Called { number, outcome } => {
+                self.delivery.ended(now, number, outcome, returned);
+                false
+            }
+        }
+    }
+
+    fn listed(&mut self, now: f64, list: &List, extent: Extent) {
+        self.places.forget(now);
+        let mut roster = Vec::with_capacity(list.entries.len());
+        for entry in &list.entries {
+            // One that nobody here ever knew cannot leave.
+            if entry.standing == Standing::Gone && self.places.find(&entry.name).is_none() {
+                continue;
+            }
+            roster.push(Listed {
+                server: self.places.place(entry, now),
+                zone: entry.zone,
+                standing: entry.standing,
+                weight: entry.weight,
+                // A start in the future is one of now: two clocks, or one that was set.
+                started_ms: (entry.since_ms > 0.0).then(|| entry.since_ms.min(now)),
+            });
+        }
+        if extent != Extent::Changes {
+            let listed: Vec<usize> = roster.iter().map(|l| l.server).collect();
+            self.places.gone_but(&listed, now);
+        }
+        self.planner.roster_changed(now, extent, &roster);
+    }
+
+    fn news(&mut self, now: f64, follower: u32, news: News) -> bool {
+        let mut changes = Vec::new();
+        let mut told = false;
+        match news {
+            News::Begun => self.joined.begun(follower),
+            News::Hello {
+                proxy, zone, pace, ..
+            } => self
+                .joined
+                .hello(follower, (proxy, zone, pace / 1000.0), now, &mut changes),
+            News::Bye { proxy } => self.joined.bye(follower, proxy, now, &mut changes),
+            News::Alive => self.joined.settle(follower, now, &mut changes),
+            News::Ack { proxy, mark } => {
+                self.joined.settle(follower, now, &mut changes);
+                if self.joined.is_joined(proxy) {
+                    self.planner.orders_applied(proxy, mark);
+                    self.delivery.answered(mark);
+                    told = true;
+                }
+            }
+        }
+        for change in &changes {
+            match change {
+                Change::Joined { proxy, zone, pace } => {
+                    self.planner.proxy_joined(*proxy, *zone, *pace);
+                }
+                Change::Left { proxy } => self.planner.proxy_left(*proxy),
+            }
+        }
+        told || !changes.is_empty()
+    }
+
+    /// Bindings that were not carried out: the planner binds anew, at its own pace.
+    fn give_back(&mut self, unbound: Vec<(usize, u64)>) {
+        for (proxy, turn) in unbound {
+            if self.joined.is_joined(proxy) && self.joined.turn(proxy) == turn {
+                self.joined.turn_over(proxy);
+                self.planner.binding_lost(proxy);
+            }
+        }
+    }
+
+    fn report(&mut self, now: f64, report: &Report) -> bool {
+        self.tally.reports += 1;
+        match report {
+            Report::Outcomes {
+                zone,
+                server,
+                tries,
+                failed,
+                mean_ms,
+                span_ms,
+            } => {
+                let Some(server) = self.places.find(server) else {
+                    self.tally.strangers += 1;
+                    return false;
+                };
+                let met = Met {
+                    zone: *zone,
+                    server,
+                    tries: *tries,
+                    failed: *failed,
+                    window_ms: *span_ms,
+                    mean_ms: *mean_ms,
+                };
+                self.planner.tries_met(now, &met);
+            }
+            Report::Demand {
+                proxy,
+                class,
+                visits,
+                span_ms,
+            } => {
+                if !self.joined.is_joined(*proxy) {
+                    self.tally.strangers += 1;
+                    return false;
+                }
+                self.planner.visits_came(*proxy, *class, *visits, *span_ms);
+            }
+        }
+        true
+    }
+
+    fn decide(&mut self, now: f64, effects: &mut Effects) {
+        let orders = self.planner.decide(now);
+        if let Some(at) = orders.wake_at {
+            self.alarm = Some(at);
+        }
+        for server in &orders.probes {
+            let place = &mut self.places.all[*server];
+            if let Some(address) = place.address {
+                place.asked = true;
+                let asked = Asked {
+                    server: *server,
+                    turn: place.turn,
+                };
+                effects.probes.push((asked, address));
+            }
+        }
+        for (_, server, weight) in &orders.lines {
+            self.places.wrote(*server, *weight, now);
+        }
+        effects.notes.extend(orders.notes.iter().cloned());
+        let joined = &self.joined;
+        let turns = orders.binds.iter().map(|b| (b.0, joined.turn(b.0)));
+        let turns = turns.collect();
+        let mark = orders.mark;
+        self.delivery.add(in_order(orders), turns, mark);
+    }
+}
+
+/// As one message a proxy, in the order of the fields of [`Orders`].
+fn in_order(orders: Orders) -> Vec<Order> {
+    let lines = orders.lines.into_iter();
+    let lines = lines.map(|(table, server, weight)| Order::Share {
+        table,
+        server,
+        weight,
+    });
+    let levels = orders.levels.into_iter();
+    let levels = levels.map(|(table, class, share, tries)| Order::Admit {
+        table,
+        class,
+        share,
+        tries,
+    });
+    let shuts = orders.withdrawals.into_iter();
+    let shuts = shuts.map(|(server, out)| Order::Shut { server, out });
+    let binds = orders.binds.into_iter();
+    let binds = binds.map(|(proxy, table)| Order::Bind { proxy, table });
+    lines.chain(levels).chain(shuts).chain(binds).collect()
+}
--- /dev/null
+++ b/crates/platform/src/delivery.rs
@@ -0,0 +1,362 @@
+//! What is sent to the relay, what is sent again, and when a call is given up.
+//!
+//! One call is under way at a time, in the order decided; one decision's orders are one call, split
+//! only above the size that a call may have. Orders set and do not add, so the end is the same whatever
+//! is sent twice; but what is sent costs lines and messages. The rules, in their order:
+//!
+//! 1. **Overtaken**: an order that a later one sets again is not sent with its old value; a binding of
+//!    a proxy that has left or joined anew since is not sent at all.
+//! 2. **Taken**: `OK n` for all of it ends the call.
+//! 3. **Halted**: `OK n` short of all: the order that halted it is left out, the rest goes at once.
+//! 4. **Turned away** (`too_many_calls`): asked again after a wait, nothing is lost.
+//! 5. **Not sent**: the call never left us whole: sent again, after waits that grow to a bound.
+//! 6. **Unknown** (silence, a break after the last byte, an answer that cannot be read): what shuts
+//!    servers out or lets them back goes again at once, ahead of all else, for it is short and the
+//!    rules on drains wait for nobody. The rest waits aside for an answer to its mark, which shows that
+//!    it was carried out; later calls go on meanwhile. Without one in time it was not carried out, and
+//!    nothing of it waits in the channel: lines and levels go again, bindings are given back to the
+//!    planner, which paces them.
+//! 7. **Refused** (`bad_request`): once sent again, then dropped and told.
+
+use crate::relay::{Answer, MOST_BYTES, Names, Order};
+use std::collections::{BTreeSet, VecDeque};
+
+/// Waits before a call that did not leave, or was turned away, is sent again (ms).
+const FIRST_WAIT_MS: f64 = 20.0;
+const LONGEST_WAIT_MS: f64 = 320.0;
+/// A mark's answer is on its way for a message's mean way and the time its lines wait before it; past
+/// so many ways, and this much beside (ms), none will come.
+const WAYS: f64 = 3.0;
+const BESIDE_MS: f64 = 300.0;
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    Answered(Answer),
+    /// It did not leave us whole.
+    NotSent,
+    /// It left, and nothing that can be relied on came back.
+    Unknown,
+}
+
+/// What a binding is to: a proxy, at one of its joinings.
+pub type Turn = (usize, u64);
+
+#[derive(Clone, Debug)]
+struct Batch {
+    orders: Vec<Order>,
+    /// The joining that each binding was for, in the order of the bindings.
+    turns: Vec<Turn>,
+    mark: Option<u32>,
+    tries: u32,
+    refused: bool,
+}
+
+struct Doubt {
+    batch: Batch,
+    until: f64,
+}
+
+/// A call to be made now.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Call {
+    pub number: u64,
+    pub text: String,
+}
+
+/// What the planner has to hear of.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Returned {
+    /// Bindings that were not carried out.
+    pub unbound: Vec<Turn>,
+    pub notes: Vec<String>,
+}
+
+pub struct Delivery {
+    queue: VecDeque<Batch>,
+    doubts: Vec<Doubt>,
+    /// The number of the call under way, how many orders of the first batch it holds, and whether its
+    /// mark is among them.
+    under_way: Option<(u64, usize, bool)>,
+    next: u64,
+    not_before: f64,
+    patience_ms: f64,
+}
+
+impl Delivery {
+    /// By the mean way of a message and the time that a full channel takes (ms).
+    pub fn of(way_ms: f64, backlog_ms: f64) -> Delivery {
+        Delivery {
+            queue: VecDeque::new(),
+            doubts: Vec::new(),
+            under_way: None,
+            next: 0,
+            not_before: f64::NEG_INFINITY,
+            patience_ms: way_ms * WAYS + backlog_ms / 2.0 + BESIDE_MS,
+        }
+    }
+
+    /// A decision's orders, in their order, and the joinings that its bindings are for.
+    pub fn add(&mut self, orders: Vec<Order>, turns: Vec<Turn>, mark: Option<u32>) {
+        if !orders.is_empty() {
+            self.queue.push_back(Batch {
+                orders,
+                turns,
+                mark,
+                tries: 0,
+                refused: false,
+            });
+        }
+    }
+
+    /// How many decisions wait to be sent, and how many are in doubt.
+    pub fn waiting(&self) -> (usize, usize) {
+        (self.queue.len(), self.doubts.len())
+    }
+
+    /// A proxy has answered for a mark: what carried it was carried out.
+    pub fn answered(&mut self, mark: u32) {
+        self.doubts.retain(|d| d.batch.mark != Some(mark));
+    }
+
+    /// When `next` has something to do without anything else coming.
+    pub fn wake(&self) -> Option<f64> {
+        let idle = self.under_way.is_none() && !self.queue.is_empty();
+        let send = idle.then_some(self.not_before);
+        let doubts = self.doubts.iter().map(|d| d.until);
+        doubts.chain(send).min_by(f64::total_cmp)
+    }
+
+    /// The call to make now, if there is one and none is under way. `stands` tells whether a proxy is
+    /// still at that joining.
+    pub fn next(
+        &mut self,
+        now: f64,
+        names: &dyn Names,
+        stands: &dyn Fn(Turn) -> bool,
+        returned: &mut Returned,
+    ) -> Option<Call> {
+        self.settle_doubts(now, returned);
+        if self.under_way.is_some() || now < self.not_before {
+            return None;
+        }
+        loop {
+            self.drop_overtaken(stands);
+            let first = self.queue.front()?;
+            if first.orders.is_empty() {
+                self.queue.pop_front();
+                continue;
+            }
+            break;
+        }
+        let first = self.queue.front()?;
+        let (mut text, mut count) = (String::from("txn "), 0);
+        for order in &first.orders {
+            let before = text.len();
+            if count > 0 {
+                text.push(';');
+            }
+            order.write(names, &mut text);
+            // A little is kept for the mark.
+            if text.len() > MOST_BYTES - 32 && count > 0 {
+                text.truncate(before);
+                break;
+            }
+            count += 1;
+        }
+        let mark = first.mark.filter(|_| count == first.orders.len());
+        if let Some(mark) = mark {
+            text.push(';');
+            Order::Mark(mark).write(names, &mut text);
+        }
+        text.push_str("\r\n");
+        self.next += 1;
+        self.under_way = Some((self.next, count, mark.is_some()));
+        Some(Call {
+            number: self.next,
+            text,
+        })
+    }
+
+    /// Rule 1.
+    fn drop_overtaken(&mut self, stands: &dyn Fn(Turn) -> bool) {
+        let Some(mut first) = self.queue.pop_front() else {
+            return;
+        };
+        let later: BTreeSet<Key> = self.queue.iter().flat_map(Batch::keys).collect();
+        first.keep(|key, turn| !later.contains(&key) && turn.is_none_or(stands));
+        self.queue.push_front(first);
+    }
+
+    /// Rule 6, its end.
+    fn settle_doubts(&mut self, now: f64, returned: &mut Returned) {
+        let over = |d: &Doubt| d.until <= now;
+        if !self.doubts.iter().any(over) {
+            return;
+        }
+        let (ended, kept): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.doubts).into_iter().partition(over);
+        self.doubts = kept;
+        for doubt in ended.into_iter().rev() {
+            let mut batch = doubt.batch;
+            returned.unbound.append(&mut batch.turns);
+            batch.orders.retain(|o| !matches!(o, Order::Bind { .. }));
+            returned.notes.push(format!(
+                "a call of unknown outcome was not carried out: {} orders go again",
+                batch.orders.len()
+            ));
+            // Ahead of what was decided later, which overtakes it.
+            let at = usize::from(self.under_way.is_some());
+            self.queue.insert(at.min(self.queue.len()), batch);
+        }
+    }
+
+    /// How the call under way ended.
+    pub fn ended(&mut self, now: f64, number: u64, outcome: Outcome, returned: &mut Returned) {
+        let Some((under_way, count, marked)) = self.under_way else {
+            return;
+        };
+        if under_way != number {
+            return;
+        }
+        self.under_way = None;
+        let Some(first) = self.queue.front_mut() else {
+            return;
+        };
+        let sent = count + usize::from(marked);
+        let wait = |tries: u32| (FIRST_WAIT_MS * f64::from(1 << tries.min(8))).min(LONGEST_WAIT_MS);
+        match outcome {
+            Outcome::Answered(Answer::Taken(n)) if n == sent => {
+                first.cut(count);
+                first.tries = 0;
+                if first.orders.is_empty() {
+                    self.queue.pop_front();
+                }
+            }
+            Outcome::Answered(Answer::Taken(n)) if n < sent => {
+                let halted = first.orders.get(n).cloned();
+                returned.notes.push(format!(
+                    "the relay halted at order {n} of {sent}: {halted:?}"
+                ));
+                // At its mark: all that it was for has been taken.
+                first.cut((n + 1).min(count));
+                if first.orders.is_empty() {
+                    self.queue.pop_front();
+                }
+            }
+            Outcome::Answered(Answer::TooMany) => {
+                self.not_before = now + wait(first.tries);
+                first.tries += 1;
+            }
+            Outcome::NotSent => {
+                self.not_before = now + wait(first.tries);
+                first.tries += 1;
+            }
+            Outcome::Answered(Answer::Bad) if !first.refused => {
+                first.refused = true;
+                self.not_before = now + FIRST_WAIT_MS;
+            }
+            Outcome::Answered(Answer::Bad) => {
+                returned.notes.push(format!(
+                    "the relay refused a call of {sent} orders twice: dropped"
+                ));
+                self.queue.pop_front();
+            }
+            Outcome::Answered(_) | Outcome::Unknown => {
+                let Some(mut batch) = self.queue.pop_front() else {
+                    return;
+                };
+                // What the call did not hold yet follows as it would have.
+                let rest = batch.split(count);
+                if !rest.orders.is_empty() {
+                    self.queue.push_front(rest);
+                }
+                let shuts = batch.take_shuts();
+                if !shuts.is_empty() {
+                    self.queue.push_front(Batch {
+                        orders: shuts,
+                        turns: Vec::new(),
+                        mark: None,
+                        tries: 0,
+                        refused: false,
+                    });
+                }
+                let until = now + self.patience_ms;
+                if !batch.orders.is_empty() {
+                    self.doubts.push(Doubt { batch, until });
+                }
+            }
+        }
+    }
+}
+
+/// What an order sets: a later one of the same key overtakes it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Key {
+    Share(usize, usize),
+    Admit(usize, usize),
+    Shut(usize),
+    Bind(usize),
+    Mark,
+}
+
+fn key(order: &Order) -> Key {
+    match order {
+        Order::Share { table, server, .. } => Key::Share(*table, *server),
+        Order::Admit { table, class, .. } => Key::Admit(*table, *class),
+        Order::Shut { server, .. } => Key::Shut(*server),
+        Order::Bind { proxy, .. } => Key::Bind(*proxy),
+        Order::Mark(_) => Key::Mark,
+    }
+}
+
+impl Batch {
+    fn keys(&self) -> impl Iterator<Item = Key> + '_ {
+        self.orders.iter().map(key)
+    }
+
+    /// Keeps the orders that pass, and the turns of the bindings that do.
+    fn keep(&mut self, pass: impl Fn(Key, Option<Turn>) -> bool) {
+        let mut turns = std::mem::take(&mut self.turns).into_iter();
+        let kept = &mut self.turns;
+        self.orders.retain(|order| {
+            let turn = match order {
+                Order::Bind { .. } => turns.next(),
+                _ => None,
+            };
+            let keeps = pass(key(order), turn);
+            kept.extend(turn.filter(|_| keeps));
+            keeps
+        });
+    }
+
+    /// Drops the first so many orders.
+    fn cut(&mut self, count: usize) {
+        let rest = self.split(count);
+        *self = rest;
+    }
+
+    /// Takes what lies behind the first so many orders away; the mark goes with the end.
+    fn split(&mut self, count: usize) -> Batch {
+        let orders = self.orders.split_off(count.min(self.orders.len()));
+        let bound = |o: &&Order| matches!(o, Order::Bind { .. });
+        let turns = self
+            .turns
+            .split_off(self.orders.iter().filter(bound).count());
+        Batch {
+            mark: if orders.is_empty() { None } else { self.mark },
+            orders,
+            turns,
+            tries: 0,
+            refused: false,
+        }
+    }
+
+    fn take_shuts(&mut self) -> Vec<Order> {
+        let (shuts, rest) = std::mem::take(&mut self.orders)
+            .into_iter()
+            .partition(|o| matches!(o, Order::Shut { .. }));
+        self.orders = rest;
+        shuts
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lines.rs
@@ -0,0 +1,132 @@
+//! Bytes into lines, wherever they are cut.
+
+/// A line grew past what one may hold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TooLong;
+
+/// What has come of a stream and is not a whole line yet.
+pub struct Lines {
+    held: Vec<u8>,
+    /// Bytes of `held` that belong to lines already given out, and that hold no line end.
+    taken: usize,
+    searched: usize,
+    most: usize,
+}
+
+impl Lines {
+    /// Lines of at most so many bytes, their end not counted.
+    pub fn of(most: usize) -> Lines {
+        Lines {
+            held: Vec::new(),
+            taken: 0,
+            searched: 0,
+            most,
+        }
+    }
+
+    /// Lines may be this long from now on.
+    pub fn allow(&mut self, most: usize) {
+        self.most = most;
+    }
+
+    pub fn push(&mut self, bytes: &[u8]) {
+        if self.taken > 0 {
+            self.held.drain(..self.taken);
+            self.searched -= self.taken;
+            self.taken = 0;
+        }
+        self.held.extend_from_slice(bytes);
+    }
+
+    /// The next whole line without its end (CRLF, or a bare LF); none until more has come.
+    ///
+    /// # Errors
+    /// [`TooLong`] once what is held cannot become a legal line any more.
+    pub fn next_line(&mut self) -> Option<Result<&[u8], TooLong>> {
+        let fresh = &self.held[self.searched..];
+        match fresh.iter().position(|b| *b == b'\n') {
+            Some(at) => {
+                let (from, to) = (self.taken, self.searched + at);
+                self.taken = to + 1;
+                self.searched = to + 1;
+                let line = &self.held[from..to];
+                let line = line.strip_suffix(b"\r").unwrap_or(line);
+                Some(if line.len() > self.most {
+                    Err(TooLong)
+                } else {
+                    Ok(line)
+                })
+            }
+            None => {
+                self.searched = self.held.len();
+                let open = self.held.len() - self.taken;
+                if open == 0 {
+                    // A long line that has gone must not keep its room for good.
+                    (self.taken, self.searched) = (0, 0);
+                    self.held.clear();
+                    self.held.shrink_to(4096);
+                }
+                (open > self.most + 1).then_some(Err(TooLong))
+            }
+        }
+    }
+
+    /// Bytes that wait for the end of their line.
+    pub fn open(&self) -> usize {
+        self.held.len() - self.taken
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn all(lines: &mut Lines, out: &mut Vec<String>) -> Result<(), TooLong> {
+        while let Some(line) = lines.next_line() {
+            out.push(String::from_utf8_lossy(line?).into_owned());
+        }
+        Ok(())
+    }
+
+    #[test]
+    fn lines_come_out_the_same_wherever_the_bytes_are_cut() {
+        let bytes = b"probe\r\n\r\n* hello 17 a 21.5 1\r\n*\nlast\r\n";
+        let whole = ["probe", "", "* hello 17 a 21.5 1", "*", "last"];
+        for first in 0..bytes.len() {
+            for second in first..bytes.len() {
+                let (mut lines, mut out) = (Lines::of(64), Vec::new());
+                for piece in [&bytes[..first], &bytes[first..second], &bytes[second..]] {
+                    lines.push(piece);
+                    all(&mut lines, &mut out).unwrap();
+                }
+                assert_eq!(out, whole, "cut at {first} and {second}");
+                assert_eq!(lines.open(), 0);
+            }
+        }
+    }
+
+    #[test]
+    fn a_line_past_the_limit_is_told_with_and_without_its_end() {
+        for (bytes, fine) in [
+            (&b"12345678\r\n"[..], true),
+            (b"123456789\r\n", false),
+            (b"12345678\r", true),
+            (b"1234567890", false),
+        ] {
+            let (mut lines, mut out) = (Lines::of(8), Vec::new());
+            lines.push(bytes);
+            assert_eq!(all(&mut lines, &mut out).is_ok(), fine, "{bytes:?}");
+        }
+    }
+
+    #[test]
+    fn room_that_a_long_line_took_is_given_back() {
+        let mut lines = Lines::of(1 << 20);
+        lines.push(&[b'x'; 500_000]);
+        assert!(lines.next_line().is_none());
+        lines.push(b"\n");
+        assert!(matches!(lines.next_line(), Some(Ok(_))));
+        assert!(lines.next_line().is_none());
+        assert!(lines.held.capacity() <= 4096);
+    }
+}
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -5,9 +5,10 @@
 
 use dahliapoint::rules::Planner;
 use dahliapoint::{Extent, Listed, Met, Orders};
+use dahliapoint_opening::deployment;
 use serde_json::{Map, Value, json};
 use std::collections::{BTreeMap, HashMap};
-use wire::{Fields, ms, opening};
+use wire::{Fields, ms};
 
 /// The one timer of an instance; older ones are overtaken by newer ones.
 const ALARM: u32 = 1;
@@ -81,7 +82,9 @@
         let who = f.instance("who")?;
         if name == "Born" {
             let settings = f.object("settings")?;
-            let opening = opening(&settings)?;
+            let opening = deployment(&settings)
+                .map_err(|e| format!("Born: {e}"))?
+                .opening;
             let (zones, classes) = (opening.zones as u64, opening.classes.len() as u64);
             let planner = Planner::begun(now, f.whole("randomSeed")?, &opening);
             let instance = Instance {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -222,6 +222,13 @@
         self.proxies.remove(&proxy);
     }
 
+    /// What would have bound a proxy did not reach it: it is bound again, by the same rule.
+    pub fn binding_lost(&mut self, proxy: usize) {
+        if let Some(p) = self.proxies.get_mut(&proxy) {
+            p.part = None;
+        }
+    }
+
     pub fn orders_applied(&mut self, proxy: usize, mark: u32) {
         let proxy = self.proxies.get_mut(&proxy);
         self.channel.answered(proxy.and_then(|p| p.answered(mark)));
