Cheap calls of unknown outcome go again at once; demand with late failures counts

What: delivery.rs, rule 6: what costs few lines goes again at once, bounded by a share of what may wait; the dear rest by rule 7 as before. arriving.rs: demand's failed may exceed its tries.

--- a/crates/platform/src/arriving.rs
+++ b/crates/platform/src/arriving.rs
@@ -80,7 +80,8 @@
             if tries > MOST_TRIES {
                 return Err(Fault::Spoilt("tries"));
             }
-            if failed > tries {
+            // What could not be served may have come in the period before: more than came is no fault.
+            if failed > MOST_TRIES {
                 return Err(Fault::Spoilt("failed"));
             }
             Ok(Said::Report(Report::Demand {
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -10,6 +10,7 @@
 use dahliapoint::rules::Planner;
 use dahliapoint::{Extent, Listed, Met, Orders, Standing};
 use dahliapoint_opening::Deployment;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// One thing that happened.
@@ -87,6 +88,8 @@
     places: Places,
     joined: Joined,
     delivery: Delivery,
+    /// The table that each joined proxy was bound to.
+    tables: BTreeMap<usize, usize>,
     /// The newest list's version.
     index: u64,
     alarm: Option<f64>,
@@ -97,12 +100,12 @@
     /// Begins at that time, with the list as it was last known.
     pub fn begun(now: f64, seed: u64, told: Deployment, known: &List) -> Core {
         let opening = &told.opening;
-        let backlog_ms = opening.most_waiting / opening.lines_per_ms.max(f64::MIN_POSITIVE);
         let mut core = Core {
             planner: Planner::begun(now, seed, opening),
             places: Places::default(),
             joined: Joined::default(),
-            delivery: Delivery::of(opening.way_ms, backlog_ms),
+            delivery: Delivery::of(opening.way_ms, opening.most_waiting, opening.lines_per_ms),
+            tables: BTreeMap::new(),
             index: known.index,
             alarm: Some(now),
             tally: Tally::default(),
@@ -288,7 +291,10 @@
                 Change::Joined { proxy, zone, pace } => {
                     self.planner.proxy_joined(*proxy, *zone, *pace);
                 }
-                Change::Left { proxy } => self.planner.proxy_left(*proxy),
+                Change::Left { proxy } => {
+                    self.planner.proxy_left(*proxy);
+                    self.tables.remove(proxy);
+                }
             }
         }
         told || !changes.is_empty()
@@ -300,6 +306,7 @@
             if self.joined.is_joined(proxy) && self.joined.turn(proxy) == turn {
                 self.joined.turn_over(proxy);
                 self.planner.binding_lost(proxy);
+                self.tables.remove(&proxy);
             }
         }
     }
@@ -361,15 +368,45 @@
                 effects.probes.push((asked, address));
             }
         }
-        for (_, server, weight) in &orders.lines {
-            self.places.wrote(*server, *weight, now);
+        for (table, server, weight) in &orders.lines {
+            self.places.wrote(*server, *table, *weight, now);
         }
         effects.notes.extend(orders.notes.iter().cloned());
         let joined = &self.joined;
         let turns = orders.binds.iter().map(|b| (b.0, joined.turn(b.0)));
         let turns = turns.collect();
         let mark = orders.mark;
-        self.delivery.add(in_order(orders), turns, mark);
+        let lines = self.cost(&orders);
+        self.tables.extend(orders.binds.iter().copied());
+        self.delivery.add(in_order(orders), turns, mark, lines);
+    }
+
+    /// The lines that orders cost in the channel: each proxy concerned is sent one message, of a head
+    /// and its lines.
+    fn cost(&self, orders: &Orders) -> f64 {
+        let head = self.told.opening.message_lines + 1.0;
+        let mut changes: BTreeMap<usize, f64> = BTreeMap::new();
+        let lines = orders.lines.iter().map(|l| l.0);
+        for table in lines.chain(orders.levels.iter().map(|l| l.0)) {
+            *changes.entry(table).or_default() += 1.0;
+        }
+        let mut everywhere = 0.0;
+        for (server, _) in &orders.withdrawals {
+            match self.places.all[*server].table {
+                Some(table) => *changes.entry(table).or_default() += 1.0,
+                None => everywhere += 1.0,
+            }
+        }
+        let told = self.tables.values().map(|table| {
+            let lines = changes.get(table).unwrap_or(&0.0) + everywhere;
+            if lines > 0.0 { lines + head } else { 0.0 }
+        });
+        let whole = |table: usize| {
+            let of = self.places.all.iter().filter(|p| p.table == Some(table));
+            of.count() as f64 + self.told.classes.len() as f64 + head
+        };
+        let bound = orders.binds.iter().map(|(_, table)| whole(*table));
+        told.chain(bound).sum()
     }
 }
 
--- a/crates/platform/src/delivery.rs
+++ b/crates/platform/src/delivery.rs
@@ -10,13 +10,16 @@
 //! 3. **Halted**: `OK n` short of all: the order that halted it is left out, the rest goes at once.
 //! 4. **Turned away** (`too_many_calls`): asked again after a wait, nothing is lost.
 //! 5. **Not sent**: the call never left us whole: sent again, after waits that grow to a bound.
-//! 6. **Unknown** (silence, a break after the last byte, an answer that cannot be read): what shuts
-//!    servers out or lets them back goes again at once, ahead of all else, for it is short and the
-//!    rules on drains wait for nobody. The rest waits aside for an answer to its mark, which shows that
-//!    it was carried out; later calls go on meanwhile. Without one in time it was not carried out, and
-//!    nothing of it waits in the channel: lines and levels go again, bindings are given back to the
-//!    planner, which paces them.
-//! 7. **Refused** (`bad_request`): once sent again, then dropped and told.
+//! 6. **Unknown** (silence, a break after the last byte, an answer that cannot be read): what costs few
+//!    lines goes again at once as it was, while all that went so lately stays a small share of what may
+//!    wait in the channel. Guards against tables that stay behind their decision; may harm where the
+//!    relay breaks every call, which the share bounds.
+//! 7. Of a dearer one, what shuts servers out or lets them back goes again at once, ahead of all else:
+//!    it is short, and the rules on drains wait for nobody. The rest waits aside for an answer to its
+//!    mark, which shows that it was carried out; later calls go on meanwhile. Without one in time it was
+//!    not carried out, and nothing of it waits in the channel: lines and levels go again, bindings are
+//!    given back to the planner, which paces them.
+//! 8. **Refused** (`bad_request`): once sent again, then dropped and told.
 
 use crate::relay::{Answer, MOST_BYTES, Names, Order};
 use std::collections::{BTreeSet, VecDeque};
@@ -28,6 +31,9 @@
 /// so many ways, and this much beside (ms), none will come.
 const WAYS: f64 = 3.0;
 const BESIDE_MS: f64 = 300.0;
+/// Of the lines that may wait, the share that may go again unasked in the time that a full channel
+/// takes. The planner leaves more than this free whatever it orders.
+const AGAIN: f64 = 0.2;
 
 /// How a call ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -48,6 +54,8 @@
     /// The joining that each binding was for, in the order of the bindings.
     turns: Vec<Turn>,
     mark: Option<u32>,
+    /// Lines that it costs in the channel.
+    lines: f64,
     tries: u32,
     refused: bool,
 }
@@ -81,11 +89,17 @@
     next: u64,
     not_before: f64,
     patience_ms: f64,
+    /// Lines that went again lately, when that was reckoned, and the pace at which they are forgotten.
+    again: f64,
+    again_at: f64,
+    most_waiting: f64,
+    lines_per_ms: f64,
 }
 
 impl Delivery {
-    /// By the mean way of a message and the time that a full channel takes (ms).
-    pub fn of(way_ms: f64, backlog_ms: f64) -> Delivery {
+    /// By the mean way of a message (ms), the lines that may wait and those sent by millisecond.
+    pub fn of(way_ms: f64, most_waiting: f64, lines_per_ms: f64) -> Delivery {
+        let backlog_ms = most_waiting / lines_per_ms.max(f64::MIN_POSITIVE);
         Delivery {
             queue: VecDeque::new(),
             doubts: Vec::new(),
@@ -93,11 +107,16 @@
             next: 0,
             not_before: f64::NEG_INFINITY,
             patience_ms: way_ms * WAYS + backlog_ms / 2.0 + BESIDE_MS,
+            again: 0.0,
+            again_at: f64::NEG_INFINITY,
+            most_waiting,
+            lines_per_ms,
         }
     }
 
-    /// A decision's orders, in their order, and the joinings that its bindings are for.
-    pub fn add(&mut self, orders: Vec<Order>, turns: Vec<Turn>, mark: Option<u32>) {
+    /// A decision's orders, in their order, the joinings that its bindings are for, and the lines that
+    /// it costs.
+    pub fn add(&mut self, orders: Vec<Order>, turns: Vec<Turn>, mark: Option<u32>, lines: f64) {
         if orders.is_empty() {
             return;
         }
@@ -105,6 +124,7 @@
             orders,
             turns,
             mark,
+            lines,
             tries: 0,
             refused: false,
         });
@@ -234,10 +254,14 @@
             return;
         }
         self.under_way = None;
+        let gone = (now - self.again_at) * self.lines_per_ms * AGAIN;
+        (self.again, self.again_at) = ((self.again - gone).max(0.0), now);
+        let room = self.most_waiting * AGAIN - self.again;
         let Some(first) = self.queue.front_mut() else {
             return;
         };
         let sent = count + usize::from(marked);
+        let small = first.lines <= room;
         let wait = |tries: u32| (FIRST_WAIT_MS * f64::from(1 << tries.min(8))).min(LONGEST_WAIT_MS);
         match outcome {
             Outcome::Answered(Answer::Taken(n)) if n == sent => {
@@ -276,6 +300,7 @@
                 ));
                 self.queue.pop_front();
             }
+            Outcome::Answered(_) | Outcome::Unknown if small => self.again += first.lines,
             Outcome::Answered(_) | Outcome::Unknown => {
                 let Some(mut batch) = self.queue.pop_front() else {
                     return;
@@ -291,6 +316,7 @@
                         orders: shuts,
                         turns: Vec::new(),
                         mark: None,
+                        lines: batch.lines,
                         tries: 0,
                         refused: false,
                     });
@@ -360,6 +386,7 @@
             .split_off(self.orders.iter().filter(bound).count());
         Batch {
             mark: if orders.is_empty() { None } else { self.mark },
+            lines: self.lines,
             orders,
             turns,
             tries: 0,
--- a/crates/platform/src/places.rs
+++ b/crates/platform/src/places.rs
@@ -20,6 +20,8 @@
     pub standing: Standing,
     /// The line that was last ordered; 0: none.
     pub line: f64,
+    /// The table that its line is in, from the first on.
+    pub table: Option<usize>,
     /// Since when it is gone and without a line.
     pub idle_since: Option<f64>,
     /// Counted up with each name: an answer to what was asked of another name is known by it.
@@ -65,6 +67,7 @@
             zone: entry.zone,
             standing: entry.standing,
             line: 0.0,
+            table: self.all.get(index).and_then(|p| p.table),
             idle_since: None,
             turn,
             asked: false,
@@ -86,7 +89,8 @@
         }
     }
 
-    pub fn wrote(&mut self, index: usize, line: f64, now: f64) {
+    pub fn wrote(&mut self, index: usize, table: usize, line: f64, now: f64) {
+        self.all[index].table = Some(table);
         self.all[index].line = line;
         self.all[index].settle(now);
     }
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -78,6 +78,14 @@
         (b"outcomes zone=a server= tries=2 failed=0 mean_ms=41.7 span_ms=1000.0", spoilt("server")),
         (b"outcomes zone=a tries=2 failed=0 mean_ms=41.7 span_ms=1000.0", spoilt("server")),
         (b"demand proxy=17 class=lookup tries=19 failed=0 span_ms=1000.0", demand(19.0)),
+        (
+            b"demand proxy=17 class=lookup tries=0 failed=1 span_ms=1000.0",
+            demand(0.0),
+        ),
+        (
+            b"demand proxy=17 class=lookup tries=0 failed=-1 span_ms=1000.0",
+            spoilt("failed"),
+        ),
         (b"demand proxy=20 class=lookup tries=19 failed=0 span_ms=1000.0", spoilt("proxy")),
         (b"demand proxy=x class=lookup tries=19 failed=0 span_ms=1000.0", spoilt("proxy")),
         (b"demand proxy=17 class=other tries=19 failed=0 span_ms=1000.0", spoilt("class")),
