--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -371,7 +371,8 @@
         for (table, server, weight) in &orders.lines {
             self.places.wrote(*server, *table, *weight, now);
         }
-        effects.notes.extend(orders.notes.iter().cloned());
+        let named = orders.notes.iter().map(|note| self.named(note));
+        effects.notes.extend(named);
         let joined = &self.joined;
         let turns = orders.binds.iter().map(|b| (b.0, joined.turn(b.0)));
         let turns = turns.collect();
@@ -381,6 +382,21 @@
         self.delivery.add(in_order(orders), turns, mark, lines);
     }
 
+    /// A note of the planner's, with names in the place of indices.
+    fn named(&self, note: &str) -> String {
+        let mut words = note.splitn(3, ' ');
+        let (Some(kind), Some(index), Some(rest)) = (words.next(), words.next(), words.next())
+        else {
+            return note.to_string();
+        };
+        let name = index.parse().ok().and_then(|index: usize| match kind {
+            "server" => self.places.all.get(index).map(|p| p.name.as_str()),
+            "zone" => self.told.zones.get(index).map(String::as_str),
+            _ => None,
+        });
+        name.map_or_else(|| note.to_string(), |name| format!("{kind} {name} {rest}"))
+    }
+
     /// The lines that orders cost in the channel: each proxy concerned is sent one message, of a head
     /// and its lines.
     fn cost(&self, orders: &Orders) -> f64 {
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -271,6 +271,36 @@
     }
 }
 
+#[test]
+fn verdicts_are_told_by_name() {
+    let mut world = World::new();
+    world.news(0, vec![hello(3)]);
+    let mut notes = Vec::new();
+    for second in 1..=8 {
+        world.now = START + f64::from(second) * 1000.0;
+        let met = |(i, name): (usize, &str)| {
+            Input::Report(Report::Outcomes {
+                zone: 0,
+                server: name.into(),
+                tries: 40.0,
+                failed: if i == 2 { 40.0 } else { 0.0 },
+                mean_ms: 90.0,
+                span_ms: 1000.0,
+            })
+        };
+        let names = ["s-1", "s-2", "s-3"];
+        notes.extend(
+            world
+                .step(names.into_iter().enumerate().map(met).collect())
+                .notes,
+        );
+    }
+    assert!(
+        notes.iter().any(|n| n.starts_with("server s-3 is failing")),
+        "{notes:?}"
+    );
+}
+
 #[test]
 fn a_start_in_the_future_is_one_of_now() {
     for ahead in [0.0, 3_600_000.0] {
