Parts hold half of what a proxy draws at its start; who left lately counts as there

Ruled out: half rounds of reports (one moment a second), orders lost or late (each call taken within 50 ms or sent again), servers over their load (good answers 200 ms at the median meanwhile).

Lines at fault: part_the_table (kept at least standing_lines), proxy_left and bind_a_proxy (loads forget who left at once). What: a part holds at least DRAWN (half) of the standing lines; proxies that left count in the loads for as long as a ramp. It also meets proxies that crash and come back; may harm when a zone's proxies are switched off for good: balance waits 10 s.

Lines at fault for what is left of the time-outs: proxies bound abroad whose controller is beyond the cut; open.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -55,8 +55,10 @@
 const HOLD_TICKS: f64 = 2.5;
 const RELAPSES: u32 = 3;
 
-/// Of the servers that a proxy's visits keep connections to, those in its part of the table.
+/// Of the servers that a proxy's visits keep connections to, those in its part of the table; and of
+/// those that it draws for itself at its start, those that a part has at the least.
 const KEPT: f64 = 0.15;
+const DRAWN: f64 = 0.5;
 /// A line that falls below this share of what it was does not wait for the tick.
 const LOW: f64 = 0.7;
 /// Shares of the backlog that lines may fill: tables that can wait, and falls and returns.
@@ -72,6 +74,8 @@
     told: Bounds,
     servers: Vec<Server>,
     proxies: BTreeMap<usize, Proxy>,
+    /// Proxies that left lately, and when.
+    gone: BTreeMap<usize, (f64, Proxy)>,
     /// What is written to the proxies of each part of the shared table.
     channel: Channel,
     /// Zones that no joined proxy reaches.
@@ -144,6 +148,7 @@
             channel: Channel::of(told.message_lines + 1.0, told.message_span_ms),
             servers: Vec::new(),
             proxies: BTreeMap::new(),
+            gone: BTreeMap::new(),
             cut: vec![false; told.zones],
             level: 1.0,
             level_since: now,
@@ -216,10 +221,12 @@
     pub fn proxy_joined(&mut self, proxy: usize, zone: usize, pace: f64) {
         let classes = self.ways.len();
         self.proxies.insert(proxy, Proxy::of(zone, pace, classes));
+        self.gone.remove(&proxy);
     }
 
     pub fn proxy_left(&mut self, proxy: usize) {
-        self.proxies.remove(&proxy);
+        let left = self.proxies.remove(&proxy);
+        self.gone.extend(left.map(|p| (proxy, (self.now, p))));
     }
 
     /// What would have bound a proxy did not reach it: it is bound again, by the same rule.
@@ -279,7 +286,7 @@
             return false;
         }
         let pace = self.proxies.values().map(|p| p.pace).sum::<f64>() / proxies;
-        let kept = (pace * self.told.kept_ms).max(self.told.standing_lines);
+        let kept = (pace * self.told.kept_ms).max(self.told.standing_lines * DRAWN);
         let many = if pace > 0.0 { servers / kept } else { 1.0 };
         for zone in 0..self.cut.len() {
             let near = self.ready().filter(|s| s.zone == zone).count() as f64;
@@ -470,8 +477,16 @@
     /// A joining proxy is bound to the least busy part, at home if it can be; one that still waits
     /// keeps the table it holds. When a part is much busier than another for what its
     /// servers take, as after a shrink or a shift, proxies are moved; from an empty one, at once.
+    /// Proxies that left keep their tables, and their visits come back: for as long as a ramp they count
+    /// as there. Guards against a zone that is being cut off, whose parts seem idle just before.
     fn bind_a_proxy(&mut self) -> bool {
-        let loads = self.channel.loads(&self.servers, &self.proxies, &self.cut);
+        let (now, ramp) = (self.now, RAMP_TICKS * TICK_MS);
+        self.gone.retain(|_, (at, _)| now - *at < ramp);
+        let all = self
+            .proxies
+            .values()
+            .chain(self.gone.values().map(|g| &g.1));
+        let loads = self.channel.loads(&self.servers, all, &self.cut);
         let cost = |p: &Proxy, part: usize, more: f64| {
             let away = self.channel.parts[part].away(p.zone);
             (loads[part].0 + more) / loads[part].1 * if away { AWAY } else { 1.0 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -325,14 +325,14 @@
     }
 
     /// For each part, visits that come to its proxies, and weight of its lines; none across a cut.
-    pub fn loads(
+    pub fn loads<'a>(
         &self,
         servers: &[Server],
-        proxies: &BTreeMap<usize, Proxy>,
+        proxies: impl Iterator<Item = &'a Proxy>,
         cut: &[bool],
     ) -> Vec<(f64, f64)> {
         let mut loads = vec![(0.0, 0.0); self.parts.len()];
-        for p in proxies.values() {
+        for p in proxies {
             if let Some(part) = p.part {
                 loads[part].0 += p.pace;
             }
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -479,6 +479,34 @@
     );
 }
 
+#[test]
+fn parts_hold_half_of_what_a_proxy_draws_for_itself() {
+    // Few visits to each proxy: with whole tables nearly every one of them opened a connection.
+    for (standing, least, most) in [(10.0, 4, 6), (24.0, 7, 8)] {
+        let told = but(|o| (o.standing_lines, o.most_waiting) = (standing, 1e6));
+        let (_, parts, _) = large(30, 60, &told);
+        for part in &parts {
+            let many = parts.iter().filter(|p| *p == part).count();
+            assert!((least..=most).contains(&many), "{standing}: {parts:?}");
+        }
+    }
+}
+
+#[test]
+fn proxies_that_left_just_now_leave_no_idle_part_to_move_to() {
+    // A zone is being cut off: its proxies leave one by one before anything else is seen.
+    let moved = |later: f64| {
+        let (mut planner, _, orders) = large(120, 60, &roomy());
+        (0..60).for_each(|p| planner.orders_applied(p, orders.mark.unwrap_or(0)));
+        let away = (1..50).step_by(2);
+        away.for_each(|p| planner.proxy_left(p));
+        planner.decide(later).binds.len()
+    };
+    assert_eq!(moved(500.0), 0);
+    // They stayed away for as long as a ramp: what is left is dealt out anew.
+    assert!(moved(10_500.0) > 0);
+}
+
 #[test]
 fn bindings_are_paid_singly_and_drains_keep_a_reserve() {
     // At size nobody was ever bound, and withdrawals found the channel full of other lines.
