Half the evidence will do where a server answers nothing or is far too slow

Each of two controllers meets 0.7 visits a second at a server, so the 8 tries that a verdict needs were rarely met at one time. Ruled out: late or half reports (one moment a second, both zones), lost orders (no unknown call before 13 s), cold starts (these were listed long ago).

Lines at fault: failing() and slow(), both 'tries >= ENOUGH' whatever the evidence says. What: enough(): half as many will do where nothing at all was answered while the fleet does well, or where the mean is SLOW times the bar. May harm when a few visits of one class all fail by themselves at one server.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -117,6 +117,11 @@
     Planner::probe_the_doubtful,
 ];
 
+/// Whether so much was met that a verdict may rest on it: half as much will do where it is clear.
+fn enough(met: &Bucket, clear: bool) -> bool {
+    met.tries >= if clear { ENOUGH / 2.0 } else { ENOUGH }
+}
+
 impl Planner {
     pub fn begun(now: f64, seed: u64, told: &Opening) -> Planner {
         let limits = told.classes.iter().map(|c| c.soft_limit_ms);
@@ -597,7 +602,8 @@
         let mut tried = views.filter(|b| b.tries >= ENOUGH / 2.0);
         let (all, long) = (s.lately, s.sum(0, LATELY * self.norms.lately));
         let broken = long.mean_ms().max(all.mean_ms()) <= self.told.tight_ms * LAG;
-        broken && all.tries >= ENOUGH && bad(&all) && tried.all(|b| bad(&b))
+        let silent = all.good() == 0.0 && self.norms.half.0 <= STRAIN_FAILING;
+        broken && enough(&all, silent) && bad(&all) && tried.all(|b| bad(&b))
     }
 
     /// Slow, or past answering, in each of the last buckets, so that one costly visit does not count.
@@ -605,7 +611,8 @@
         let bar = (times * self.norms.quarter.1).max(self.told.tight_ms * LAG);
         let mut each = (1..=LATELY).map(|back| s.sum(back, 1));
         let late = |b: Bucket| b.mean_ms() > bar || b.good() == 0.0 && b.tries > 0.0;
-        s.lately.tries >= ENOUGH && each.all(late)
+        let clear = s.lately.mean_ms() > bar * SLOW;
+        enough(&s.lately, clear) && each.all(late)
     }
 
     /// Takes health from the first server that the verdict is on; all of it only within what may be
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -492,6 +492,37 @@
     }
 }
 
+#[test]
+fn few_visits_are_enough_where_the_verdict_is_clear() {
+    type Case = (&'static str, (f64, f64, f64), std::ops::RangeInclusive<f64>);
+    // Each controller sees its own part of few visits: 5 in the time that counts as lately.
+    let cases: [Case; 5] = [
+        ("answers nothing", (1.7, 1.7, 0.0), 0.0..=0.0),
+        ("far too slow", (1.7, 0.0, 2500.0), 0.05..=0.7),
+        ("slow, but less clearly", (1.7, 0.0, 700.0), 1.0..=1.0),
+        ("fails now and then", (1.7, 0.6, 200.0), 1.0..=1.0),
+        ("next to nothing met", (0.6, 0.6, 0.0), 1.0..=1.0),
+    ];
+    for (case, seen, right) in cases {
+        let mut fleet = Fleet::warm();
+        let here = |seen: Seen| move |s, z| seen.filter(|_| z == 0).filter(|_| s < 8);
+        let others = here(Some((5.0, 0.0, 200.0)));
+        fleet.pass(6, |s, z| {
+            if s == 3 {
+                here(Some(seen))(s, z)
+            } else {
+                others(s, z)
+            }
+        });
+        assert!(
+            right.contains(&fleet.line(3)),
+            "{case}: {} {:?}",
+            fleet.line(3),
+            fleet.notes
+        );
+    }
+}
+
 #[test]
 fn proxies_that_left_just_now_leave_no_idle_part_to_move_to() {
     // A zone is being cut off: its proxies leave one by one before anything else is seen.
