--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -294,7 +294,6 @@
         let text = reports([0, 0, 40]);
         collector.write_all(spoilt.as_bytes()).unwrap();
         collector.write_all(text.as_bytes()).unwrap();
-        std::thread::sleep(Duration::from_millis(100));
         relay.with(|held| held.lines.get("s-3") == Some(&0.0))
     }));
 }
