New addresses are seen also while the old streams are never quiet

Checked: the watch, which is quiet, moved within 0.1 to 0.25 s; the followers, with answers to marks every few ms, did not. Lines at fault: relay.rs listen() looked for a new address only when a read had waited 200 ms in vain.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 //! Whatever comes is put into one bounded queue; the owner, the main thread, takes all that came within
 //! a tick as one moment and has the core decide once. Nothing is written to disk.
 
+mod beside;
 mod configuration;
 mod door;
 mod life;
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -4,22 +4,20 @@
 //! two seats. A follower that falls silent, or whose address is replaced, gets a successor beside it
 //! and ends only when that one has been told what stands.
 
+use crate::beside::{Beside, Serves};
 use crate::reach::{Addresses, Shared};
 use dahliapoint_fibers::{Queue, Received, Socket, give_way, sleep, spawn};
 use dahliapoint_platform::core::Input;
 use dahliapoint_platform::delivery::{Call, Outcome};
 use dahliapoint_platform::lines::Lines;
 use dahliapoint_platform::relay::{self, News};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 const SEATS: usize = 2;
 const DIAL: Duration = Duration::from_millis(700);
 /// The sign of life comes each second (PROTOCOL, "The relay"); without two of them it is out of reach.
 const SILENT: Duration = Duration::from_millis(2300);
-/// A silent follower is kept for so long: what it missed may still come.
-const GIVEN_UP: Duration = Duration::from_secs(20);
 /// How often a new address is looked for.
 const LOOK: Duration = Duration::from_millis(200);
 const MOST_LINE: usize = 4096;
@@ -36,13 +34,13 @@
         spawn(move || {
             // The second seat never begins at the same moment as the first.
             sleep(Duration::from_millis(150 * seat as u64));
-            follower(reach, Arc::new(AtomicBool::new(false)));
+            follower(reach, Serves::default());
         });
     }
 }
 
 /// One follower, from its first dial to its end; `settled` is set once it was told what stands.
-fn follower(reach: Shared, settled: Arc<AtomicBool>) {
+fn follower(reach: Shared, settled: Serves) {
     let mut attempt = 0;
     loop {
         let at = reach.addresses();
@@ -76,13 +74,7 @@
     Broken(String),
 }
 
-fn listen(
-    reach: &Shared,
-    socket: &Socket,
-    at: Addresses,
-    id: u32,
-    settled: &Arc<AtomicBool>,
-) -> Ended {
+fn listen(reach: &Shared, socket: &Socket, at: Addresses, id: u32, settled: &Serves) -> Ended {
     let broken = |why: &str| Ended::Broken(format!("{}: {why}", at.relay));
     if socket
         .write_all(b"follow\r\n", Instant::now() + WRITTEN_WITHIN)
@@ -91,47 +83,39 @@
         return broken("`follow` could not be written");
     }
     let mut lines = Lines::of(MOST_LINE);
-    let mut heard = Instant::now();
+    let mut beside = Beside::of(at, SILENT);
     let mut buffer = [0; 8192];
-    let mut successor: Option<Arc<AtomicBool>> = None;
     let (mut begun, mut told_silent) = (false, false);
     loop {
         let read = socket.read(&mut buffer, Some(Instant::now() + LOOK));
         // Whoever succeeds has the seat, also when this one breaks first.
-        if let Some(successor) = &successor
-            && (successor.load(Ordering::Acquire) || heard.elapsed() > GIVEN_UP)
-        {
+        if beside.is_over() {
             return Ended::Replaced;
         }
+        if begun && let Some((why, serves)) = beside.due(reach) {
+            let text = format!("news: {}: {why}: another follower beside it", at.relay);
+            reach.teller.note(&text);
+            let reach = reach.clone();
+            spawn(move || follower(reach, serves));
+        }
         let n = match read {
             Ok(n) if n > 0 => n,
             Err(e) if e.kind() == std::io::ErrorKind::TimedOut => {
-                let moved = reach.addresses().turn != at.turn;
-                if heard.elapsed() > SILENT && !told_silent {
+                if beside.is_silent() && !told_silent {
                     told_silent = true;
                     reach.put(vec![Input::Silent { follower: id }]);
                 }
-                if !begun && (heard.elapsed() > SILENT || moved) {
+                if !begun && (beside.is_silent() || beside.is_moved(reach)) {
                     return broken("no answer to `follow`");
                 }
-                if successor.is_none() && (moved || heard.elapsed() > SILENT) {
-                    let why = if moved { "other address" } else { "silent" };
-                    reach.teller.note(&format!(
-                        "news: {}: {why}: another follower beside it",
-                        at.relay
-                    ));
-                    let told = Arc::new(AtomicBool::new(false));
-                    successor = Some(told.clone());
-                    let reach = reach.clone();
-                    spawn(move || follower(reach, told));
-                }
                 continue;
             }
-            Ok(_) | Err(_) if successor.is_some() => return Ended::Replaced,
+            Ok(_) | Err(_) if beside.has_successor() => return Ended::Replaced,
             Ok(_) => return broken("ended"),
             Err(e) => return broken(&e.to_string()),
         };
-        (heard, told_silent) = (Instant::now(), false);
+        beside.heard();
+        told_silent = false;
         lines.push(&buffer[..n]);
         let mut inputs = Vec::new();
         while let Some(line) = lines.next_line() {
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -1,22 +1,20 @@
 //! Discovery's watch. After missed beats, or with a new address, a second one is opened beside the
 //! first, which ends once the second has brought anything. While discovery is down the last list stands.
 
+use crate::beside::{Beside, Serves};
 use crate::reach::{Addresses, Shared};
 use dahliapoint_fibers::{Socket, give_way, sleep, spawn};
 use dahliapoint_platform::chunks::Chunks;
 use dahliapoint_platform::core::Input;
 use dahliapoint_platform::discovery;
 use dahliapoint_platform::lines::Lines;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 const DIAL: Duration = Duration::from_millis(700);
 const WRITTEN_WITHIN: Duration = Duration::from_millis(300);
 /// An empty line arrives every 2 s while nothing changes (PROTOCOL, "Discovery").
 const SILENT: Duration = Duration::from_millis(2600);
-/// A silent watch beside whose successor is none the better is given up.
-const GIVEN_UP: Duration = Duration::from_secs(20);
 const LOOK: Duration = Duration::from_millis(200);
 const MOST_HEAD: usize = 8192;
 const MOST_LINE: usize = 1 << 20;
@@ -24,10 +22,10 @@
 /// Watches for good.
 pub fn begin(reach: &Shared) {
     let reach = reach.clone();
-    spawn(move || watcher(reach, Arc::new(AtomicBool::new(false))));
+    spawn(move || watcher(reach, Serves::default()));
 }
 
-fn watcher(reach: Shared, brought: Arc<AtomicBool>) {
+fn watcher(reach: Shared, brought: Serves) {
     let mut attempt = 0;
     loop {
         let at = reach.addresses();
@@ -81,7 +79,7 @@
     }
 }
 
-fn watch(reach: &Shared, socket: &Socket, at: Addresses, brought: &AtomicBool) -> Ended {
+fn watch(reach: &Shared, socket: &Socket, at: Addresses, brought: &Serves) -> Ended {
     let after = reach.index.load(Ordering::Acquire);
     let ask = format!(
         "GET /api/targets?watch=1&after={after} HTTP/1.1\r\nHost: {}\r\n\r\n",
@@ -93,41 +91,32 @@
     {
         return Ended::Broken("the watch could not be asked for".into());
     }
-    let mut heard = Instant::now();
+    let mut beside = Beside::of(at, SILENT);
     let mut buffer = [0; 8192];
     let mut held: Vec<u8> = Vec::new();
     let mut body: Option<(Option<Chunks>, Lines)> = None;
-    let mut successor: Option<Arc<AtomicBool>> = None;
     loop {
         let read = socket.read(&mut buffer, Some(Instant::now() + LOOK));
-        if let Some(successor) = &successor
-            && (successor.load(Ordering::Acquire) || heard.elapsed() > GIVEN_UP)
-        {
+        if beside.is_over() {
             return Ended::Replaced;
         }
+        if let Some((why, serves)) = beside.due(reach) {
+            let text = format!(
+                "discovery: {}: {why}: a second watch beside it",
+                at.discovery
+            );
+            reach.teller.note(&text);
+            let reach = reach.clone();
+            spawn(move || watcher(reach, serves));
+        }
         let n = match read {
             Ok(n) if n > 0 => n,
-            Err(e) if e.kind() == std::io::ErrorKind::TimedOut => {
-                let moved = reach.addresses().turn != at.turn;
-                if successor.is_none() && (moved || heard.elapsed() > SILENT) {
-                    let why = if moved { "other address" } else { "silent" };
-                    let text = format!(
-                        "discovery: {}: {why}: a second watch beside it",
-                        at.discovery
-                    );
-                    reach.teller.note(&text);
-                    let told = Arc::new(AtomicBool::new(false));
-                    successor = Some(told.clone());
-                    let reach = reach.clone();
-                    spawn(move || watcher(reach, told));
-                }
-                continue;
-            }
-            Ok(_) | Err(_) if successor.is_some() => return Ended::Replaced,
+            Err(e) if e.kind() == std::io::ErrorKind::TimedOut => continue,
+            Ok(_) | Err(_) if beside.has_successor() => return Ended::Replaced,
             Ok(_) => return Ended::Broken("the watch ended".into()),
             Err(e) => return Ended::Broken(e.to_string()),
         };
-        heard = Instant::now();
+        beside.heard();
         held.extend_from_slice(&buffer[..n]);
         if body.is_none() {
             match head(&held) {
