Calls that fail again wait; an index that a waiting order names is not reused

Each was shown by a test first: - a relay that answers at once what cannot be read was asked 1000 times in 1000 steps of a ms (delivery.rs ended(): what costs no lines, and withdrawals, went again without a wait); - 5000 decisions while the relay is out of reach: 101 waited and more (delivery.rs add() had no bound); - a server gone 20 s while its withdrawal still waited: its index went to another server, and the withdrawal was lost (places.rs forget()), which would have broken the rule on drains.

What: the first try again is at once, later ones after growing waits; past 64 decisions what waits is cut down to one order for each thing that orders set; forget() spares what orders name.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -241,7 +241,7 @@
     }
 
     fn listed(&mut self, now: f64, list: &List, extent: Extent) {
-        self.places.forget(now);
+        self.places.forget(now, &self.delivery.servers());
         let mut roster = Vec::with_capacity(list.entries.len());
         for entry in &list.entries {
             // One that nobody here ever knew cannot leave.
--- a/crates/platform/src/delivery.rs
+++ b/crates/platform/src/delivery.rs
@@ -19,7 +19,9 @@
 //!    mark, which shows that it was carried out; later calls go on meanwhile. Without one in time it was
 //!    not carried out, and nothing of it waits in the channel: lines and levels go again, bindings are
 //!    given back to the planner, which paces them.
+//!    Either goes at once the first time, and after waits that grow from then on.
 //! 8. **Refused** (`bad_request`): once sent again, then dropped and told.
+//! 9. **Long out of reach**: what waits is cut down to what no later order sets again.
 
 use crate::relay::{Answer, MOST_BYTES, Names, Order};
 use std::collections::{BTreeSet, VecDeque};
@@ -34,6 +36,8 @@
 /// Of the lines that may wait, the share that may go again unasked in the time that a full channel
 /// takes. The planner leaves more than this free whatever it orders.
 const AGAIN: f64 = 0.2;
+/// Decisions that wait before they are cut down to what still counts.
+const MANY: usize = 64;
 
 /// How a call ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -129,6 +133,35 @@
             refused: false,
         });
         self.overtake_doubts();
+        if self.queue.len() > MANY {
+            self.cut_down();
+        }
+    }
+
+    /// Rule 9: at most one order for each thing that orders set; a call under way is left as it is.
+    fn cut_down(&mut self) {
+        let fixed = usize::from(self.under_way.is_some());
+        let mut later = BTreeSet::new();
+        for batch in self.queue.iter_mut().skip(fixed).rev() {
+            batch.keep(|key, _| !later.contains(&key));
+            later.extend(batch.keys());
+        }
+        let mut place = 0;
+        self.queue.retain(|batch| {
+            place += 1;
+            place <= fixed || !batch.orders.is_empty()
+        });
+    }
+
+    /// Servers that an order names which may still be sent.
+    pub fn servers(&self) -> BTreeSet<usize> {
+        let doubted = self.doubts.iter().map(|d| &d.batch);
+        let orders = self.queue.iter().chain(doubted).flat_map(|b| &b.orders);
+        let named = orders.filter_map(|order| match order {
+            Order::Share { server, .. } | Order::Shut { server, .. } => Some(*server),
+            Order::Admit { .. } | Order::Bind { .. } | Order::Mark(_) => None,
+        });
+        named.collect()
     }
 
     /// Rule 1 for what is in doubt: it may go again after what has been decided since.
@@ -263,6 +296,10 @@
         let sent = count + usize::from(marked);
         let small = first.lines <= room;
         let wait = |tries: u32| (FIRST_WAIT_MS * f64::from(1 << tries.min(8))).min(LONGEST_WAIT_MS);
+        let again = |tries: u32| match tries {
+            0 => now,
+            n => now + wait(n - 1),
+        };
         match outcome {
             Outcome::Answered(Answer::Taken(n)) if n == sent => {
                 first.cut(count);
@@ -300,7 +337,11 @@
                 ));
                 self.queue.pop_front();
             }
-            Outcome::Answered(_) | Outcome::Unknown if small => self.again += first.lines,
+            Outcome::Answered(_) | Outcome::Unknown if small => {
+                self.again += first.lines;
+                self.not_before = again(first.tries);
+                first.tries += 1;
+            }
             Outcome::Answered(_) | Outcome::Unknown => {
                 let Some(mut batch) = self.queue.pop_front() else {
                     return;
@@ -312,12 +353,13 @@
                 }
                 let shuts = batch.take_shuts();
                 if !shuts.is_empty() {
+                    self.not_before = again(batch.tries);
                     self.queue.push_front(Batch {
                         orders: shuts,
                         turns: Vec::new(),
                         mark: None,
                         lines: batch.lines,
-                        tries: 0,
+                        tries: batch.tries + 1,
                         refused: false,
                     });
                 }
--- a/crates/platform/src/places.rs
+++ b/crates/platform/src/places.rs
@@ -1,12 +1,12 @@
 //! Names of servers and the small indices that the planner knows them by.
 //!
 //! An index is used again for another name once nothing refers to it: its server is gone and its line
-//! taken away, and both have been so for [`QUIET_MS`], by when no call, answer or probe names it any
-//! more. Only within its zone: the planner has dealt it to a part of that zone.
+//! taken away, both have been so for [`QUIET_MS`], by when no answer or probe names it any more, and no
+//! order that names it waits to be sent. Only within its zone: the planner has dealt it to a part of that zone.
 
 use crate::discovery::Entry;
 use dahliapoint::Standing;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 /// Calls, reports and probes all end well within this.
@@ -95,12 +95,16 @@
         self.all[index].settle(now);
     }
 
-    /// Lets names go whose index nothing refers to; tells how many.
-    pub fn forget(&mut self, now: f64) -> usize {
+    /// Lets names go whose index nothing refers to, orders that wait included; tells how many.
+    pub fn forget(&mut self, now: f64, ordered: &BTreeSet<usize>) -> usize {
         let mut gone = 0;
         for (index, place) in self.all.iter().enumerate() {
             let quiet = place.idle_since.is_some_and(|at| now - at >= QUIET_MS);
-            if quiet && !place.asked && self.by_name.get(&place.name) == Some(&index) {
+            if quiet
+                && !place.asked
+                && !ordered.contains(&index)
+                && self.by_name.get(&place.name) == Some(&index)
+            {
                 self.by_name.remove(&place.name);
                 self.free.entry(place.zone).or_default().push(index);
                 gone += 1;
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -317,6 +317,47 @@
     }
 }
 
+#[test]
+fn an_index_that_a_waiting_order_names_is_not_given_to_another_server() {
+    let mut world = World::new();
+    world.news(0, vec![hello(3)]);
+    // The relay is out of reach from here on: the withdrawal of s-2 waits.
+    let gone = Input::List(list(6, false, vec![entry("s-2", Standing::Gone, 0.0)]));
+    let mut call = world.step(vec![gone]).call;
+    let mut index = 7;
+    for second in 1..=60 {
+        world.now = START + f64::from(second) * 1000.0;
+        let mut inputs = Vec::new();
+        inputs.extend(call.take().map(|c| Input::Called {
+            number: c.number,
+            outcome: Outcome::NotSent,
+        }));
+        if second == 40 {
+            let fresh = entry("s-9", Standing::Ready, world.now);
+            inputs.push(Input::List(list(index, false, vec![fresh])));
+            index += 1;
+        }
+        call = world.step(inputs).call;
+        if let Some(call) = &call {
+            assert!(!call.text.contains("withdraw,s-9"), "{}", call.text);
+        }
+    }
+    // It is back: whoever left is shut out, whoever came is not.
+    world.tell(
+        call.into_iter()
+            .map(|c| Input::Called {
+                number: c.number,
+                outcome: Outcome::NotSent,
+            })
+            .collect(),
+    );
+    world.pass(5000.0);
+    assert_eq!(
+        (world.count("withdraw,s-2"), world.count("withdraw,s-9")),
+        (1, 0)
+    );
+}
+
 #[test]
 fn indices_are_used_again_and_the_fleet_that_is_replaced_all_day_stays_small() {
     let mut world = World::new();
--- a/crates/platform/tests/delivery.rs
+++ b/crates/platform/tests/delivery.rs
@@ -183,6 +183,55 @@
     assert_eq!(line.call().unwrap(), "withdraw,s1");
 }
 
+#[test]
+fn a_relay_that_answers_nothing_readable_is_not_asked_in_a_hot_loop() {
+    // What costs no lines (nobody has joined), and withdrawals, which go ahead of all else.
+    for (orders, lines) in [(vec![share(0, 1.0)], 0.0), (vec![shut(1)], 900.0)] {
+        let mut line = Line::new();
+        line.d.add(orders, vec![], None, lines);
+        let mut calls = 0;
+        for _ in 0..1000 {
+            if line.call().is_some() {
+                calls += 1;
+                line.ends(Outcome::Answered(Answer::Unreadable));
+            }
+            line.now += 1.0;
+        }
+        assert!((3..=12).contains(&calls), "{calls} calls in a second");
+    }
+}
+
+#[test]
+fn what_waits_for_a_relay_that_is_gone_stays_as_short_as_what_it_sets() {
+    let mut line = Line::new();
+    line.d
+        .add(vec![share(2, 0.5), bind(7)], vec![(7, 1)], Some(1), 10.0);
+    for i in 0..5000 {
+        line.d.add(
+            vec![share(i % 2, i as f64), shut(i % 2)],
+            vec![],
+            Some(2),
+            10.0,
+        );
+        assert!(line.d.waiting().0 <= 100, "{}", line.d.waiting().0);
+    }
+    let mut last = String::new();
+    while let Some(text) = line.call() {
+        line.taken(text.split(';').count());
+        last += &(text + ";");
+    }
+    for wanted in [
+        "share,0,s2,0.5",
+        "bind,7,0,*",
+        "share,0,s0,4998",
+        "share,0,s1,4999",
+        "withdraw,s0",
+        "withdraw,s1",
+    ] {
+        assert_eq!(last.matches(wanted).count(), 1, "{wanted} in {last}");
+    }
+}
+
 #[test]
 fn a_call_is_split_only_above_the_size_that_one_may_have() {
     let mut line = Line::new();
