An answer to a mark counts whenever it comes; a part in doubt is not shown by another's

An answer that came before its call's end, or while the call waited to go again, was forgotten: the call went out twice, or its bindings were given back though they stood. And Batch::split left the mark with both parts of a call above 60,000 bytes: the answer to the second part cleared the doubt on the first, whose proxies then stayed without a table for good (rule 1).

Change: an answer to a mark that has left drops its batch wherever it is (rule 10); a part whose mark goes with the rest keeps none. A mark that has not left is shown by nothing, so an old answer to a number that is used again cannot drop a new call.

Ruled out: the order 'end, then answer' was right before; the planner's own count takes answers at any time.

--- a/crates/platform/src/delivery.rs
+++ b/crates/platform/src/delivery.rs
@@ -22,6 +22,9 @@
 //!    Either goes at once the first time, and after waits that grow from then on.
 //! 8. **Refused** (`bad_request`): once sent again, then dropped and told.
 //! 9. **Long out of reach**: what waits is cut down to what no later order sets again.
+//! 10. **Acknowledged**: an answer to a mark that has left shows that its call was carried out, whenever
+//!     it comes: before the call's end is known, while it waits to go again, or in doubt. It does not go
+//!     again. Only the call that held the mark is shown: a part before it stays in doubt.
 
 use crate::relay::{Answer, MOST_BYTES, Names, Order};
 use std::collections::{BTreeSet, VecDeque};
@@ -58,6 +61,10 @@
     /// The joining that each binding was for, in the order of the bindings.
     turns: Vec<Turn>,
     mark: Option<u32>,
+    /// Its mark has left with all that remains of it: an answer to it is an answer to this.
+    marked: bool,
+    /// That answer has come.
+    acknowledged: bool,
     /// Lines that it costs in the channel.
     lines: f64,
     tries: u32,
@@ -128,6 +135,8 @@
             orders,
             turns,
             mark,
+            marked: false,
+            acknowledged: false,
             lines,
             tries: 0,
             refused: false,
@@ -181,9 +190,18 @@
         (self.queue.len(), self.doubts.len())
     }
 
-    /// A proxy has answered for a mark: what carried it was carried out.
+    /// Rule 10: a proxy has answered for a mark.
     pub fn answered(&mut self, mark: u32) {
-        self.doubts.retain(|d| d.batch.mark != Some(mark));
+        self.doubts.retain(|d| !d.batch.is_shown_by(mark));
+        let under_way = self.under_way.is_some();
+        let mut place = 0;
+        self.queue.retain_mut(|batch| {
+            let shown = batch.is_shown_by(mark);
+            batch.acknowledged |= shown;
+            place += 1;
+            // The call under way is still to end.
+            !shown || under_way && place == 1
+        });
     }
 
     /// When `next` has something to do without anything else coming.
@@ -239,6 +257,9 @@
         text.push_str("\r\n");
         self.next += 1;
         self.under_way = Some((self.next, count, mark.is_some()));
+        if let Some(first) = self.queue.front_mut() {
+            first.marked |= mark.is_some();
+        }
         Some(Call {
             number: self.next,
             text,
@@ -294,6 +315,11 @@
             return;
         };
         let sent = count + usize::from(marked);
+        let outcome = match outcome {
+            Outcome::Answered(Answer::Taken(n)) if n <= sent => outcome,
+            _ if first.acknowledged => Outcome::Answered(Answer::Taken(sent)),
+            _ => outcome,
+        };
         let small = first.lines <= room;
         let wait = |tries: u32| (FIRST_WAIT_MS * f64::from(1 << tries.min(8))).min(LONGEST_WAIT_MS);
         let again = |tries: u32| match tries {
@@ -349,6 +375,8 @@
                 // What the call did not hold yet follows as it would have.
                 let rest = batch.split(count);
                 if !rest.orders.is_empty() {
+                    // The mark goes with them, and shows nothing of what is in doubt here.
+                    batch.mark = None;
                     self.queue.push_front(rest);
                 }
                 let shuts = batch.take_shuts();
@@ -358,6 +386,8 @@
                         orders: shuts,
                         turns: Vec::new(),
                         mark: None,
+                        marked: false,
+                        acknowledged: false,
                         lines: batch.lines,
                         tries: batch.tries + 1,
                         refused: false,
@@ -394,6 +424,10 @@
 }
 
 impl Batch {
+    fn is_shown_by(&self, mark: u32) -> bool {
+        self.marked && self.mark == Some(mark)
+    }
+
     fn keys(&self) -> impl Iterator<Item = Key> + '_ {
         self.orders.iter().map(key)
     }
@@ -428,6 +462,8 @@
             .split_off(self.orders.iter().filter(bound).count());
         Batch {
             mark: if orders.is_empty() { None } else { self.mark },
+            marked: self.marked && !orders.is_empty(),
+            acknowledged: false,
             lines: self.lines,
             orders,
             turns,
--- a/crates/platform/tests/delivery.rs
+++ b/crates/platform/tests/delivery.rs
@@ -248,6 +248,98 @@
     assert_eq!((bound, line.d.waiting()), (6000, (0, 0)));
 }
 
+/// When a mark's answer comes, seen from the call that carried it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Comes {
+    BeforeItsEnd,
+    WhileItWaitsToGoAgain,
+    InDoubt,
+    AsItGoesAgain,
+}
+
+#[test]
+fn what_an_answer_shows_does_not_go_again_whenever_the_answer_comes() {
+    let unreadable = Outcome::Answered(Answer::Unreadable);
+    let beyond = Outcome::Answered(Answer::Taken(99));
+    for (comes, outcome, lines) in [
+        (Comes::BeforeItsEnd, Outcome::Unknown, 90.0),
+        (Comes::BeforeItsEnd, Outcome::Unknown, 900.0),
+        (Comes::BeforeItsEnd, unreadable, 90.0),
+        (Comes::BeforeItsEnd, unreadable, 900.0),
+        (Comes::BeforeItsEnd, beyond, 900.0),
+        (Comes::WhileItWaitsToGoAgain, Outcome::Unknown, 90.0),
+        (Comes::InDoubt, Outcome::Unknown, 900.0),
+        (Comes::AsItGoesAgain, Outcome::Unknown, 90.0),
+        (Comes::AsItGoesAgain, Outcome::NotSent, 90.0),
+        (
+            Comes::AsItGoesAgain,
+            Outcome::Answered(Answer::TooMany),
+            90.0,
+        ),
+    ] {
+        let case = format!("{comes:?} {outcome:?} {lines}");
+        let mut line = Line::new();
+        let orders = vec![share(0, 1.0), bind(7)];
+        line.d.add(orders, vec![(7, 1)], Some(3), lines);
+        line.call().unwrap();
+        match comes {
+            Comes::BeforeItsEnd => {
+                line.d.answered(3);
+                line.ends(outcome);
+            }
+            Comes::WhileItWaitsToGoAgain | Comes::InDoubt => {
+                line.ends(outcome);
+                line.d.answered(3);
+            }
+            Comes::AsItGoesAgain => {
+                line.ends(Outcome::Unknown);
+                line.call().unwrap();
+                line.d.answered(3);
+                line.ends(outcome);
+            }
+        }
+        assert_eq!(line.d.waiting(), (0, 0), "{case}");
+        line.now += 60_000.0;
+        assert_eq!((line.call(), line.d.wake()), (None, None), "{case}");
+        assert_eq!(line.back, Returned::default(), "{case}");
+    }
+}
+
+#[test]
+fn an_answer_shows_nothing_of_a_call_whose_mark_has_not_left() {
+    // The number was used before: its old answer comes while the new one waits, or is being sent.
+    for sent in [false, true] {
+        let mut line = Line::new();
+        line.add(vec![share(1, 1.0)], vec![], Some(2));
+        line.add(vec![share(0, 1.0)], vec![], Some(3));
+        line.call().unwrap();
+        line.d.answered(3);
+        line.taken(2);
+        assert_eq!(line.call().unwrap(), "share,0,s0,1;mark,3,0");
+        if sent {
+            line.ends(Outcome::Unknown);
+            assert_eq!(line.d.waiting(), (0, 1), "it is in doubt");
+        }
+    }
+}
+
+#[test]
+fn a_part_of_unknown_outcome_is_not_shown_by_the_mark_of_the_part_behind_it() {
+    let mut line = Line::new();
+    let many: Vec<Order> = (0..6000).map(bind).collect();
+    line.add(many, (0..6000).map(|p| (p, 1)).collect(), Some(3));
+    let first = line.call().unwrap().matches("bind").count();
+    line.ends(Outcome::Unknown);
+    let rest = line.call().unwrap();
+    assert!(rest.ends_with("mark,3,0"));
+    line.taken(rest.split(';').count());
+    line.d.answered(3);
+    line.now = line.d.wake().expect("the first part is still in doubt");
+    assert_eq!(line.call(), None);
+    let bare: Vec<(usize, u64)> = (0..first).map(|p| (p, 1)).collect();
+    assert_eq!(line.back.unbound, bare, "the planner binds them anew");
+}
+
 #[test]
 fn bindings_of_proxies_that_left_are_not_sent() {
     let mut line = Line::new();
