--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -202,12 +202,14 @@
             }
             Input::News { follower, news } => self.news(now, follower, news),
             Input::Silent { follower } => {
-                self.joined.silent(follower);
-                false
+                let mut changes = Vec::new();
+                self.joined.silent(follower, now, &mut changes);
+                self.tell_joined(&changes)
             }
             Input::Unfollowed { follower } => {
-                self.joined.ended(follower);
-                false
+                let mut changes = Vec::new();
+                self.joined.ended(follower, now, &mut changes);
+                self.tell_joined(&changes)
             }
             Input::Report(report) => self.report(now, &report),
             Input::Probed {
@@ -286,7 +288,12 @@
                 }
             }
         }
-        for change in &changes {
+        self.tell_joined(&changes) || told
+    }
+
+    /// Tells whether there was anything to tell.
+    fn tell_joined(&mut self, changes: &[Change]) -> bool {
+        for change in changes {
             match change {
                 Change::Joined { proxy, zone, pace } => {
                     self.planner.proxy_joined(*proxy, *zone, *pace);
@@ -297,7 +304,7 @@
                 }
             }
         }
-        told || !changes.is_empty()
+        !changes.is_empty()
     }
 
     /// Bindings that were not carried out: the planner binds anew, at its own pace.
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -223,8 +223,11 @@
     let mut world = World::new();
     world.news(0, vec![hello(3), hello(4)]);
     world.follow(1, &[3, 4]);
+    // The first is heard beside the second, so no gap lies between them; likewise the third.
+    world.news(0, vec![News::Alive]);
     world.tell(vec![Input::Unfollowed { follower: 0 }]);
     world.follow(2, &[3, 4]);
+    world.news(1, vec![News::Alive]);
     assert_eq!(
         (world.count("bind,3,0,*"), world.count("bind,4,0,*")),
         (1, 1)
@@ -239,6 +242,14 @@
         (world.count("bind,3,0,*"), world.count("bind,4,0,*")),
         (1, 2)
     );
+    // The last one ends and was not heard since another began: a gap may lie between the two, and
+    // who stands by the other's word is bound anew; so also where it falls silent.
+    world.follow(4, &[4]);
+    world.tell(vec![Input::Unfollowed { follower: 3 }]);
+    assert_eq!(world.count("bind,4,0,*"), 3);
+    world.follow(5, &[4]);
+    world.tell(vec![Input::Silent { follower: 4 }]);
+    assert_eq!(world.count("bind,4,0,*"), 4);
 }
 
 #[test]
