Lists told again or anew, streams that stay silent, ends that cross an answer: states removed

- since_ms ahead of our clock was cut to 'now' at each telling (core.rs, listed): a list told again began the ramp anew each time (line 0.075 where 0.18 was due after 9 s).
Now reckoned once for each start told.
- Versions that begin anew below ours were ignored until they passed it.
Decided: a watch told a whole list below ours asks again after the 6 s that discovery may be behind; another watch's whole list below ours is then believed, and older watches tell nothing from there on.
- What came behind an answer was dropped and the connection used again: its rest would have been read as the next call's answer (relay.rs, make).
Such a connection is not used again.
- SIGTERM left a call half written; a slow file held the signal up.

--- a/crates/fibers/src/socket.rs
+++ b/crates/fibers/src/socket.rs
@@ -1,5 +1,5 @@
 //! A socket of one descriptor, for one coroutine at a time: every wait on it has an end, and an end
-//! that is not reached leaves nothing behind. Others may shut it.
+//! that is not reached leaves nothing behind. Others may interrupt it.
 
 use crate::{TcpListener, TcpStream, timer};
 use may::io::WaitIo;
@@ -8,11 +8,27 @@
 use std::net::{Shutdown, SocketAddr};
 use std::os::fd::{FromRawFd, IntoRawFd};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 /// A handle; clones are the same descriptor, closed with the last of them.
 #[derive(Clone)]
-pub struct Socket(Arc<TcpStream>);
+pub struct Socket(Arc<Shared>);
+
+struct Shared {
+    stream: TcpStream,
+    interrupted: AtomicBool,
+}
+
+impl From<TcpStream> for Socket {
+    fn from(stream: TcpStream) -> Socket {
+        let interrupted = AtomicBool::new(false);
+        Socket(Arc::new(Shared {
+            stream,
+            interrupted,
+        }))
+    }
+}
 
 /// Takes the next who connects.
 ///
@@ -21,7 +37,7 @@
 pub fn accept(listener: &TcpListener) -> io::Result<(Socket, SocketAddr)> {
     let (stream, from) = listener.accept()?;
     stream.set_nodelay(true)?;
-    Ok((Socket(Arc::new(stream)), from))
+    Ok((stream.into(), from))
 }
 
 impl Socket {
@@ -44,7 +60,7 @@
         };
         // SAFETY: the descriptor is open, a stream socket, and owned by nobody else from here on.
         let stream = unsafe { TcpStream::from_raw_fd(fresh.into_raw_fd()) };
-        let socket = Socket(Arc::new(stream));
+        let socket = Socket::from(stream);
         if begun {
             return Ok(socket);
         }
@@ -70,20 +86,23 @@
     ) -> io::Result<T> {
         let mut ends: Option<timer::Timer> = None;
         loop {
-            match attempt(self.0.inner()) {
+            match attempt(self.0.stream.inner()) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 other => return other,
             }
+            if self.0.interrupted.swap(false, Ordering::AcqRel) {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
             if let Some(at) = until {
                 if Instant::now() >= at {
                     return Err(io::ErrorKind::TimedOut.into());
                 }
                 if ends.as_ref().is_none_or(timer::Timer::is_over) {
-                    ends = Some(timer::wake(at, self.0.waker()));
+                    ends = Some(timer::wake(at, self.0.stream.waker()));
                 }
             }
-            self.0.wait_io();
+            self.0.stream.wait_io();
         }
     }
 
@@ -110,9 +129,21 @@
         Ok(())
     }
 
+    /// Ends the wait of whoever waits on it as if the time were up, or the next wait if nobody does. What
+    /// has come can still be read.
+    pub fn interrupt(&self) {
+        self.0.interrupted.store(true, Ordering::Release);
+        self.0.stream.waker().wakeup();
+    }
+
+    /// Nothing more is written: the other side reads what was, and then the end.
+    pub fn end_writing(&self) {
+        let _ = self.0.stream.inner().shutdown(Shutdown::Write);
+    }
+
     /// Ends it for whoever waits on it.
     pub fn shut(&self) {
-        let _ = self.0.inner().shutdown(Shutdown::Both);
+        let _ = self.0.stream.inner().shutdown(Shutdown::Both);
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod probes;
 mod reach;
 mod relay;
+mod shutdown;
 mod tell;
 mod watch;
 
--- a/crates/node/src/life.rs
+++ b/crates/node/src/life.rs
@@ -4,16 +4,23 @@
 use crate::owner::Owner;
 use crate::reach::{Reach, Shared};
 use crate::{door, probes, relay, watch};
+use dahliapoint_fibers::Bell;
 use dahliapoint_platform::core::Core;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 use tracing_subscriber::EnvFilter;
 
 /// The variable that names the configuration file (DEPLOY, "What a controller is told").
 const FILE: &str = "NODE_CONFIG";
 /// What the log tells of; `debug` adds what is believed of each server.
 const LOG: &str = "DAHLIAPOINT_LOG";
+/// What the old addresses name closes its connections so long after the signal (DAYS, "New configurations
+/// and restarts"): until then a file that is still being written is read again.
+const WRITTEN_WITHIN: Duration = Duration::from_millis(1500);
+const READ_AGAIN: Duration = Duration::from_millis(20);
 
 /// Serves until a signal ends the process.
 ///
@@ -66,29 +73,47 @@
         core,
         reach: reach.clone(),
     };
-    std::thread::Builder::new()
-        .name("signals".into())
-        .spawn(move || heed(signals, &reach, &path))
+    let renewed = Arc::new(Bell::default());
+    let (heeded, told) = (reach.clone(), renewed.clone());
+    let thread = |name: &str| std::thread::Builder::new().name(name.into());
+    thread("configuration")
+        .spawn(move || renew(&renewed, &reach, &path))
+        .and_then(|_| thread("signals").spawn(move || heed(signals, &heeded, &told)))
         .map_err(|e| format!("a thread for signals: {e}"))?;
     owner.work();
     Ok(())
 }
 
-fn heed(mut signals: Signals, reach: &Shared, path: &Path) {
+/// Nothing that waits stands between a signal and the end: files are read elsewhere.
+fn heed(mut signals: Signals, reach: &Shared, renewed: &Bell) {
     for signal in signals.forever() {
-        match signal {
-            SIGHUP => match configuration::read(path) {
-                Ok(told) if reach.moved(told.relay, told.discovery) => {
-                    tracing::info!(relay = %told.relay, discovery = %told.discovery, "new configuration");
-                }
-                Ok(_) => tracing::info!("new configuration: nothing that is taken up has changed"),
-                Err(why) => tracing::warn!("new configuration refused, the old one stands: {why}"),
-            },
-            _ => {
-                // Proxies go elsewhere from here on: nothing more is ordered.
-                tracing::info!("told to end");
-                std::process::exit(0);
+        if signal == SIGHUP {
+            renewed.ring();
+            continue;
+        }
+        // Proxies go elsewhere from here on: nothing more is ordered, and what is being written ends first.
+        reach.shutdown.begin(Instant::now() + relay::WRITTEN_WITHIN);
+        std::process::exit(0);
+    }
+}
+
+/// Reads the file each time that it is told to. One that is bad may be half written: it is read again for
+/// a while, also without another signal.
+fn renew(renewed: &Bell, reach: &Shared, path: &Path) {
+    while renewed.wait(None) {
+        let until = Instant::now() + WRITTEN_WITHIN;
+        let told = loop {
+            match configuration::read(path) {
+                Err(_) if Instant::now() < until => std::thread::sleep(READ_AGAIN),
+                told => break told,
+            }
+        };
+        match told {
+            Ok(told) if reach.moved(told.relay, told.discovery) => {
+                tracing::info!(relay = %told.relay, discovery = %told.discovery, "new configuration");
             }
+            Ok(_) => tracing::info!("new configuration: nothing that is taken up has changed"),
+            Err(why) => tracing::warn!("new configuration refused, the old one stands: {why}"),
         }
     }
 }
--- a/crates/node/src/reach.rs
+++ b/crates/node/src/reach.rs
@@ -1,5 +1,6 @@
 //! What all parts of a running controller share: where the others are, the queue to the owner, chance.
 
+use crate::shutdown::Shutdown;
 use crate::tell::Teller;
 use dahliapoint_fibers::Queue;
 use dahliapoint_opening::Deployment;
@@ -25,6 +26,8 @@
     /// The newest list's version, for the next watch.
     pub index: AtomicU64,
     followers: AtomicU32,
+    watches: AtomicU32,
+    pub shutdown: Shutdown,
     chance: AtomicU64,
     pub teller: Teller,
     pub clock: Clock,
@@ -50,6 +53,8 @@
             deployment,
             index: AtomicU64::new(index),
             followers: AtomicU32::new(0),
+            watches: AtomicU32::new(0),
+            shutdown: Shutdown::default(),
             chance: AtomicU64::new(seed | 1),
             teller: Teller::default(),
             clock: Clock::start(),
@@ -84,6 +89,10 @@
         self.followers.fetch_add(1, Ordering::Relaxed)
     }
 
+    pub fn next_watch(&self) -> u32 {
+        self.watches.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Puts inputs before the owner, waiting for room.
     pub fn put(&self, inputs: Vec<Input>) {
         if !inputs.is_empty() {
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -2,13 +2,14 @@
 //!
 //! While one follower is unbroken nothing of the news is missed (see `platform::joined`), so there are
 //! two seats. A follower that falls silent, or whose address is replaced, gets a successor beside it
-//! and ends only when that one has been told what stands.
+//! and ends only when that one has been told what stands, and what was on its way has come.
 
-use crate::beside::{Beside, Serves};
+use crate::beside::{Beside, Due, Serves};
 use crate::reach::{Addresses, Shared};
 use dahliapoint_fibers::{Queue, Received, Socket, give_way, sleep, spawn};
 use dahliapoint_platform::core::Input;
 use dahliapoint_platform::delivery::{Call, Outcome};
+use dahliapoint_platform::joined::LAG_MS;
 use dahliapoint_platform::lines::Lines;
 use dahliapoint_platform::relay::{self, News};
 use std::sync::atomic::Ordering;
@@ -18,12 +19,13 @@
 const DIAL: Duration = Duration::from_millis(700);
 /// The sign of life comes each second (PROTOCOL, "The relay"); without two of them it is out of reach.
 const SILENT: Duration = Duration::from_millis(2300);
+const LAG: Duration = Duration::from_millis(LAG_MS as u64);
 /// How often a new address is looked for.
 const LOOK: Duration = Duration::from_millis(200);
 const MOST_LINE: usize = 4096;
 /// An answer arrives within 50 ms or never (PROTOCOL, "The relay"); the rest is for a busy machine.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(200);
-const WRITTEN_WITHIN: Duration = Duration::from_millis(300);
+pub const WRITTEN_WITHIN: Duration = Duration::from_millis(300);
 /// The relay closes what stood idle for about 10 s or less: after this a call takes a new connection.
 const IDLE: Duration = Duration::from_millis(1000);
 
@@ -83,20 +85,24 @@
         return broken("`follow` could not be written");
     }
     let mut lines = Lines::of(MOST_LINE);
-    let mut beside = Beside::of(at, SILENT);
+    let mut beside = Beside::of(at, SILENT, LAG);
     let mut buffer = [0; 8192];
     let (mut begun, mut told_silent) = (false, false);
     loop {
-        let read = socket.read(&mut buffer, Some(Instant::now() + LOOK));
-        // Whoever succeeds has the seat, also when this one breaks first.
+        // Before the read: what has been read is told.
         if beside.is_over() {
             return Ended::Replaced;
         }
-        if begun && let Some((why, serves)) = beside.due(reach) {
-            let text = format!("news: {}: {why}: another follower beside it", at.relay);
-            reach.teller.note(&text);
-            let reach = reach.clone();
-            spawn(move || follower(reach, serves));
+        let read = socket.read(&mut buffer, Some(Instant::now() + LOOK));
+        match beside.due(reach, settled.load(Ordering::Acquire)) {
+            Due::Nothing => {}
+            Due::End(why) => return broken(&format!("{why}, and nothing came yet")),
+            Due::Successor(why, serves) => {
+                let text = format!("news: {}: {why}: another follower beside it", at.relay);
+                reach.teller.note(&text);
+                let reach = reach.clone();
+                spawn(move || follower(reach, serves));
+            }
         }
         let n = match read {
             Ok(n) if n > 0 => n,
@@ -105,9 +111,6 @@
                     told_silent = true;
                     reach.put(vec![Input::Silent { follower: id }]);
                 }
-                if !begun && (beside.is_silent() || beside.is_moved(reach)) {
-                    return broken("no answer to `follow`");
-                }
                 continue;
             }
             Ok(_) | Err(_) if beside.has_successor() => return Ended::Replaced,
@@ -193,7 +196,12 @@
         }
     };
     let bytes = call.text.as_bytes();
-    if let Err(done) = socket.write_all(bytes, Instant::now() + WRITTEN_WITHIN) {
+    if !reach.shutdown.begin_write() {
+        return (Outcome::NotSent, None);
+    }
+    let written = socket.write_all(bytes, Instant::now() + WRITTEN_WITHIN);
+    reach.shutdown.end_write();
+    if let Err(done) = written {
         fault(format!("broken after {done} of {} bytes", bytes.len()));
         socket.shut();
         return (Outcome::NotSent, None);
@@ -219,7 +227,9 @@
             Some(Ok(line)) => {
                 let answer = relay::answer(line);
                 if answer != relay::Answer::Unreadable {
-                    return (Outcome::Answered(answer), Some(socket));
+                    // What came behind it would be read as the next call's answer.
+                    let clean = lines.open() == 0;
+                    return (Outcome::Answered(answer), clean.then_some(socket));
                 }
                 let text = String::from_utf8_lossy(line).into_owned();
                 fault(format!("answer {text:?}"));
--- /dev/null
+++ b/crates/node/src/shutdown.rs
@@ -0,0 +1,64 @@
+//! The end of the process: what is being written to the relay leaves whole or not at all.
+
+use dahliapoint_fibers::Bell;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Instant;
+
+const WRITING: u8 = 1;
+const ENDING: u8 = 2;
+
+/// One writer, and one who ends the process.
+#[derive(Default)]
+pub struct Shutdown {
+    state: AtomicU8,
+    written: Bell,
+}
+
+impl Shutdown {
+    /// A write may begin; not once the process is ending.
+    pub fn begin_write(&self) -> bool {
+        let begun = self
+            .state
+            .compare_exchange(0, WRITING, Ordering::AcqRel, Ordering::Acquire);
+        begun.is_ok()
+    }
+
+    pub fn end_write(&self) {
+        if self.state.fetch_and(!WRITING, Ordering::AcqRel) & ENDING != 0 {
+            self.written.ring();
+        }
+    }
+
+    /// No further write begins; waits for the one under way, up to that time.
+    pub fn begin(&self, until: Instant) {
+        if self.state.fetch_or(ENDING, Ordering::AcqRel) & WRITING != 0 {
+            self.written.wait(Some(until));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::sync::Arc;
+    use std::time::Duration;
+
+    #[test]
+    fn an_end_waits_for_the_write_under_way_and_lets_none_begin() {
+        let hour = Instant::now() + Duration::from_secs(3600);
+        let idle = Shutdown::default();
+        idle.begin(hour);
+        assert!(!idle.begin_write());
+
+        let shutdown = Arc::new(Shutdown::default());
+        assert!(shutdown.begin_write());
+        // Nobody ends the write: the time is up.
+        shutdown.begin(Instant::now());
+        assert!(!shutdown.begin_write(), "one is under way");
+        let ends = shutdown.clone();
+        let ending = std::thread::spawn(move || ends.begin(hour));
+        shutdown.end_write();
+        ending.join().unwrap();
+        assert!(!shutdown.begin_write(), "it is ending");
+    }
+}
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -1,11 +1,13 @@
 //! Discovery's watch. After missed beats, or with a new address, a second one is opened beside the
 //! first, which ends once the second has brought anything. While discovery is down the last list stands.
+//! One that is told versions below ours for longer than discovery may be behind asks again, so that the
+//! core can tell a discovery that is late from one whose versions begin anew.
 
-use crate::beside::{Beside, Serves};
+use crate::beside::{Beside, Due, Serves};
 use crate::reach::{Addresses, Shared};
 use dahliapoint_fibers::{Socket, give_way, sleep, spawn};
 use dahliapoint_platform::chunks::Chunks;
-use dahliapoint_platform::core::Input;
+use dahliapoint_platform::core::{Input, TOLD_WITHIN_MS};
 use dahliapoint_platform::discovery;
 use dahliapoint_platform::lines::Lines;
 use std::sync::atomic::Ordering;
@@ -16,6 +18,7 @@
 /// An empty line arrives every 2 s while nothing changes (PROTOCOL, "Discovery").
 const SILENT: Duration = Duration::from_millis(2600);
 const LOOK: Duration = Duration::from_millis(200);
+const TOLD_WITHIN: Duration = Duration::from_millis(TOLD_WITHIN_MS as u64);
 const MOST_HEAD: usize = 8192;
 const MOST_LINE: usize = 1 << 20;
 
@@ -81,6 +84,7 @@
 
 fn watch(reach: &Shared, socket: &Socket, at: Addresses, brought: &Serves) -> Ended {
     let after = reach.index.load(Ordering::Acquire);
+    let number = reach.next_watch();
     let ask = format!(
         "GET /api/targets?watch=1&after={after} HTTP/1.1\r\nHost: {}\r\n\r\n",
         at.discovery
@@ -91,7 +95,8 @@
     {
         return Ended::Broken("the watch could not be asked for".into());
     }
-    let mut beside = Beside::of(at, SILENT);
+    let mut beside = Beside::of(at, SILENT, Duration::ZERO);
+    let mut below: Option<Instant> = None;
     let mut buffer = [0; 8192];
     let mut held: Vec<u8> = Vec::new();
     let mut body: Option<(Option<Chunks>, Lines)> = None;
@@ -100,14 +105,21 @@
         if beside.is_over() {
             return Ended::Replaced;
         }
-        if let Some((why, serves)) = beside.due(reach) {
-            let text = format!(
-                "discovery: {}: {why}: a second watch beside it",
-                at.discovery
-            );
-            reach.teller.note(&text);
-            let reach = reach.clone();
-            spawn(move || watcher(reach, serves));
+        match beside.due(reach, brought.load(Ordering::Acquire)) {
+            Due::Nothing => {}
+            Due::End(why) => return Ended::Broken(format!("{why}, and nothing came yet")),
+            Due::Successor(why, serves) => {
+                let text = format!(
+                    "discovery: {}: {why}: a second watch beside it",
+                    at.discovery
+                );
+                reach.teller.note(&text);
+                let reach = reach.clone();
+                spawn(move || watcher(reach, serves));
+            }
+        }
+        if below.is_some_and(|since| since.elapsed() > TOLD_WITHIN) {
+            return Ended::Broken("its versions lie below ours: asked again".into());
         }
         let n = match read {
             Ok(n) if n > 0 => n,
@@ -159,7 +171,10 @@
             match discovery::read(line, &reach.deployment.zones) {
                 Ok(list) => {
                     brought.store(true, Ordering::Release);
-                    inputs.push(Input::List(list));
+                    let since = below.unwrap_or_else(Instant::now);
+                    below = (list.index < after).then_some(since);
+                    let watch = number;
+                    inputs.push(Input::List { watch, list });
                 }
                 // What it held is told again by the next watch, after the version that stands.
                 Err(why) => {
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -13,10 +13,18 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// What discovery has to tell counts as told no later than this long after (PROTOCOL, "Figures"; ms): no
+/// discovery is further behind.
+pub const TOLD_WITHIN_MS: f64 = 6000.0;
+
 /// One thing that happened.
 #[derive(Clone, Debug)]
 pub enum Input {
-    List(List),
+    /// What a watch brought; watches are numbered in the order in which they asked.
+    List {
+        watch: u32,
+        list: List,
+    },
     News {
         follower: u32,
         news: News,
@@ -92,6 +100,10 @@
     tables: BTreeMap<usize, usize>,
     /// The newest list's version.
     index: u64,
+    /// Watches from this one on ask by the numbering that counts.
+    first_watch: u32,
+    /// Since when, and by which watch, whole lists lie below the version that stands.
+    below: Option<(f64, u32)>,
     alarm: Option<f64>,
     pub tally: Tally,
 }
@@ -107,6 +119,8 @@
             delivery: Delivery::of(opening.way_ms, opening.most_waiting, opening.lines_per_ms),
             tables: BTreeMap::new(),
             index: known.index,
+            first_watch: 0,
+            below: None,
             alarm: Some(now),
             tally: Tally::default(),
             told,
@@ -181,13 +195,12 @@
     /// Tells whether the planner was told anything.
     fn take(&mut self, now: f64, input: Input, returned: &mut Returned) -> bool {
         match input {
-            Input::List(list) => {
+            Input::List { watch, list } => {
                 let extent = match list.whole {
                     true => Extent::Whole,
                     false => Extent::Changes,
                 };
-                // Versions never go back; a list told twice changes nothing.
-                if list.index < self.index || list.index == self.index && !list.whole {
+                if !self.counts(now, watch, &list, returned) {
                     self.tally.old_lists += 1;
                     return false;
                 }
@@ -242,6 +255,33 @@
         }
     }
 
+    /// Versions never go back, and a list told twice changes nothing: a watch beside another, or bytes
+    /// that were held up, tell what is past. Discovery itself may begin its versions anew: then a
+    /// watch that asks for what came after ours is told a whole list below it, and another one still
+    /// is once no discovery can be that far behind. From then on older watches tell nothing.
+    fn counts(&mut self, now: f64, watch: u32, list: &List, returned: &mut Returned) -> bool {
+        if watch < self.first_watch {
+            return false;
+        }
+        if list.index > self.index || list.index == self.index && list.whole {
+            self.below = None;
+            return true;
+        }
+        if !list.whole {
+            return false;
+        }
+        let (since, first) = *self.below.get_or_insert((now, watch));
+        let anew = list.index < self.index && watch > first && now - since >= TOLD_WITHIN_MS;
+        if anew {
+            (self.first_watch, self.below) = (watch, None);
+            let (old, new) = (self.index, list.index);
+            returned.notes.push(format!(
+                "discovery's versions begin anew: {new} after {old}"
+            ));
+        }
+        anew
+    }
+
     fn listed(&mut self, now: f64, list: &List, extent: Extent) {
         self.places.forget(now, &self.delivery.servers());
         let mut roster = Vec::with_capacity(list.entries.len());
@@ -250,13 +290,13 @@
             if entry.standing == Standing::Gone && self.places.find(&entry.name).is_none() {
                 continue;
             }
+            let server = self.places.place(entry, now);
             roster.push(Listed {
-                server: self.places.place(entry, now),
+                server,
                 zone: entry.zone,
                 standing: entry.standing,
                 weight: entry.weight,
-                // A start in the future is one of now: two clocks, or one that was set.
-                started_ms: (entry.since_ms > 0.0).then(|| entry.since_ms.min(now)),
+                started_ms: self.places.all[server].started,
             });
         }
         if extent != Extent::Changes {
--- a/crates/platform/src/places.rs
+++ b/crates/platform/src/places.rs
@@ -28,6 +28,10 @@
     pub turn: u32,
     /// When a probe was sent that is not answered yet.
     pub asked: bool,
+    /// When it last started, by our clock (ms); none: long ago.
+    pub started: Option<f64>,
+    /// The same as the list has it.
+    since_ms: f64,
 }
 
 #[derive(Default)]
@@ -52,6 +56,12 @@
         place.address = entry.address.or(place.address);
         place.zone = entry.zone;
         place.standing = entry.standing;
+        if entry.since_ms != place.since_ms {
+            place.since_ms = entry.since_ms;
+            // A start in the future is one of now: two clocks, or one that was set. Reckoned once, so that
+            // a list that is told again tells of no new start.
+            place.started = (entry.since_ms > 0.0).then(|| entry.since_ms.min(now));
+        }
         place.settle(now);
         index
     }
@@ -71,6 +81,8 @@
             idle_since: None,
             turn,
             asked: false,
+            started: None,
+            since_ms: 0.0,
         };
         match self.all.get_mut(index) {
             Some(slot) => *slot = place,
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -3,7 +3,7 @@
 use dahliapoint::Standing;
 use dahliapoint_opening::{Deployment, deployment};
 use dahliapoint_platform::arriving::Report;
-use dahliapoint_platform::core::{Core, Effects, Input};
+use dahliapoint_platform::core::{Core, Effects, Input, TOLD_WITHIN_MS};
 use dahliapoint_platform::delivery::Outcome;
 use dahliapoint_platform::discovery::{Entry, List};
 use dahliapoint_platform::places::QUIET_MS;
@@ -46,6 +46,11 @@
     }
 }
 
+fn lists(index: u64, whole: bool, entries: Vec<Entry>) -> Input {
+    let list = list(index, whole, entries);
+    Input::List { watch: 0, list }
+}
+
 /// A core, a relay that takes every call unless told otherwise, and all that it was ordered.
 struct World {
     core: Core,
@@ -152,8 +157,8 @@
     let mut world = World::new();
     world.news(0, vec![hello(3)]);
     assert_eq!(world.count("bind,3,0,*"), 1);
-    let drains = list(6, false, vec![entry("s-2", Standing::Draining, 0.0)]);
-    world.tell(vec![Input::List(drains)]);
+    let drains = lists(6, false, vec![entry("s-2", Standing::Draining, 0.0)]);
+    world.tell(vec![drains]);
     assert_eq!(world.count("withdraw,s-2"), 1);
 }
 
@@ -169,7 +174,7 @@
     ] {
         let mut world = World::new();
         world.news(0, vec![hello(3)]);
-        world.tell(vec![Input::List(list(index, whole, entries))]);
+        world.tell(vec![lists(index, whole, entries)]);
         assert_eq!(
             world.count("withdraw,s-1") == 1,
             withdrawn,
@@ -209,11 +214,11 @@
         span_ms: 1000.0,
     };
     world.tell(vec![Input::Report(stranger), Input::Report(demand)]);
-    world.tell(vec![Input::List(list(
+    world.tell(vec![lists(
         6,
         false,
         vec![entry("s-8", Standing::Gone, 0.0)],
-    ))]);
+    )]);
     assert_eq!(world.ordered.len(), before);
     assert_eq!(world.core.tally.strangers, 2);
 }
@@ -318,7 +323,7 @@
         let mut world = World::new();
         world.news(0, vec![hello(3)]);
         let fresh = entry("s-4", Standing::Ready, START + ahead);
-        world.tell(vec![Input::List(list(6, false, vec![fresh]))]);
+        world.tell(vec![lists(6, false, vec![fresh])]);
         world.pass(4000.0);
         // Cold, so it is probed and its line is below its weight; but it has one.
         assert!(!world.probes.is_empty());
@@ -333,7 +338,7 @@
     let mut world = World::new();
     world.news(0, vec![hello(3)]);
     // The relay is out of reach from here on: the withdrawal of s-2 waits.
-    let gone = Input::List(list(6, false, vec![entry("s-2", Standing::Gone, 0.0)]));
+    let gone = lists(6, false, vec![entry("s-2", Standing::Gone, 0.0)]);
     let mut call = world.step(vec![gone]).call;
     let mut index = 7;
     for second in 1..=60 {
@@ -345,7 +350,7 @@
         }));
         if second == 40 {
             let fresh = entry("s-9", Standing::Ready, world.now);
-            inputs.push(Input::List(list(index, false, vec![fresh])));
+            inputs.push(lists(index, false, vec![fresh]));
             index += 1;
         }
         call = world.step(inputs).call;
@@ -382,7 +387,7 @@
             entry(&old, Standing::Gone, 0.0),
         ];
         names.push(fresh);
-        world.tell(vec![Input::List(list(6 + round, false, entries))]);
+        world.tell(vec![lists(6 + round, false, entries)]);
         world.pass(QUIET_MS);
     }
     // Three that serve, one that comes, and those that have gone lately.
@@ -399,3 +404,154 @@
         );
     }
 }
+
+#[test]
+fn a_list_that_is_told_again_begins_no_ramp_anew() {
+    let up = |n, since| entry(n, Standing::Ready, since);
+    // The line of a server that has just come, after so long; told once, or again each second: the
+    // whole list at the same version, as each watch that asks anew gets it, or an entry that is as it was.
+    let line = |since: f64, again: &str| {
+        let all = || {
+            let old = ["s-1", "s-2", "s-3"].map(|n| up(n, 0.0));
+            old.into_iter().chain([up("s-4", since)]).collect()
+        };
+        let mut world = World::new();
+        world.news(0, vec![hello(3)]);
+        world.tell(vec![lists(6, true, all())]);
+        for second in 0..9 {
+            world.pass(1000.0);
+            match again {
+                "whole" => world.tell(vec![lists(6, true, all())]),
+                "entry" => world.tell(vec![lists(7 + second, false, vec![up("s-4", since)])]),
+                _ => {}
+            }
+        }
+        let lines = world.began("share,0,s-4,");
+        lines
+            .last()
+            .map_or("", |l| l.rsplit(',').next().unwrap())
+            .to_string()
+    };
+    // As discovery has its start: an hour ahead of our clock, just now, and long ago.
+    for since in [START + 3_600_000.0, START, 0.0] {
+        let once = line(since, "");
+        assert!(once.parse::<f64>().unwrap() > 0.0);
+        for again in ["whole", "entry"] {
+            assert_eq!(line(since, again), once, "{since} {again}");
+        }
+    }
+}
+
+#[test]
+fn lists_of_two_watches_end_the_same_in_any_order() {
+    // The truth: s-1 drains at 6, s-4 comes at 7, s-1 has gone at 8. One watch tells changes; another
+    // began at some version and tells the whole list there, then what follows. Every order of the two.
+    let up = |n| entry(n, Standing::Ready, 0.0);
+    let changes = || {
+        vec![
+            (6, vec![entry("s-1", Standing::Draining, 0.0)]),
+            (7, vec![up("s-4")]),
+            (8, vec![entry("s-1", Standing::Gone, 0.0)]),
+        ]
+    };
+    let whole = |at: u64| {
+        let mut all = vec![up("s-2"), up("s-3")];
+        match at {
+            5 => all.push(up("s-1")),
+            6 | 7 => all.push(entry("s-1", Standing::Draining, 0.0)),
+            _ => {}
+        }
+        all.extend((at >= 7).then(|| up("s-4")));
+        list(at, true, all)
+    };
+    let from = |at: u64| changes().into_iter().filter(move |(index, _)| *index > at);
+    for began in 5..=8 {
+        let one: Vec<List> = from(5).map(|(i, e)| list(i, false, e)).collect();
+        let mut other = vec![whole(began)];
+        other.extend(from(began).map(|(i, e)| list(i, false, e)));
+        let many = one.len() + other.len();
+        for order in 0..1_u32 << many {
+            if order.count_ones() as usize != one.len() {
+                continue;
+            }
+            let mut world = World::new();
+            world.news(0, vec![hello(3)]);
+            let (mut one, mut other) = (one.iter(), other.iter());
+            for place in 0..many {
+                let (watch, next) = match order >> place & 1 {
+                    1 => (0, one.next()),
+                    _ => (1, other.next()),
+                };
+                let list = next.unwrap().clone();
+                world.tell(vec![Input::List { watch, list }]);
+            }
+            let case = format!("began at {began}, order {order:b}");
+            assert_eq!(world.core.index(), 8, "{case}");
+            assert_eq!(world.count("withdraw,s-1"), 1, "{case}");
+            assert_eq!(world.count("restore,s-1"), 0, "{case}");
+            world.pass(4000.0);
+            assert!(!world.began("share,0,s-4,").is_empty(), "{case}");
+        }
+    }
+}
+
+#[test]
+fn a_drain_inside_a_whole_list_after_silence_is_withdrawn_at_once() {
+    for standing in [Standing::Draining, Standing::Gone] {
+        let mut world = World::new();
+        world.news(0, vec![hello(3)]);
+        world.pass(60_000.0);
+        let mut all = vec![entry("s-2", Standing::Ready, 0.0)];
+        all.extend((standing == Standing::Draining).then(|| entry("s-1", standing, 0.0)));
+        let list = list(40, true, all);
+        world.tell(vec![Input::List { watch: 7, list }]);
+        // The other two are not in it, or drain.
+        assert_eq!(
+            (world.count("withdraw,s-1"), world.count("withdraw,s-3")),
+            (1, 1)
+        );
+    }
+}
+
+#[test]
+fn versions_that_begin_anew_are_believed_once_no_discovery_can_be_so_far_behind() {
+    let drains = |n| entry(n, Standing::Draining, 0.0);
+    let below = |watch| Input::List {
+        watch,
+        list: list(
+            2,
+            true,
+            vec![drains("s-1"), entry("s-2", Standing::Ready, 0.0)],
+        ),
+    };
+    let change = |watch, index, name| Input::List {
+        watch,
+        list: list(index, false, vec![drains(name)]),
+    };
+    let mut world = World::new();
+    world.news(0, vec![hello(3)]);
+    // A discovery that is late: not believed, and the next that reaches ours makes it good.
+    world.tell(vec![below(1)]);
+    world.pass(TOLD_WITHIN_MS);
+    world.tell(vec![change(1, 6, "s-3")]);
+    world.tell(vec![below(2)]);
+    assert_eq!(world.count("withdraw,s-1"), 0);
+    assert_eq!(world.count("withdraw,s-3"), 1);
+    // The same watch says it twice, or another one too soon: not yet.
+    world.pass(TOLD_WITHIN_MS - 1.0);
+    world.tell(vec![below(3)]);
+    assert_eq!(world.count("withdraw,s-1"), 0);
+    world.pass(1.0);
+    world.tell(vec![below(2)]);
+    assert_eq!(world.count("withdraw,s-1"), 0);
+    // Changes below ours show nothing; another watch's whole list does.
+    world.tell(vec![change(4, 3, "s-2")]);
+    assert_eq!(world.count("withdraw,s-2"), 0);
+    world.tell(vec![below(4)]);
+    assert_eq!((world.count("withdraw,s-1"), world.core.index()), (1, 2));
+    // What an older watch still tells is of the old numbering, however high.
+    world.tell(vec![change(3, 60, "s-2")]);
+    assert_eq!((world.count("withdraw,s-2"), world.core.index()), (0, 2));
+    world.tell(vec![change(4, 3, "s-2")]);
+    assert_eq!((world.count("withdraw,s-2"), world.core.index()), (1, 3));
+}
