Zones that nobody may probe are asked by visits in need; messages count over joinings

The logs: 'zone bang-na is cut off' at 0.042 s, three of four zones on every controller, for good. There proxies join their own zone's controller and nothing may be probed.

Cause: see_a_cut_link takes a zone that no proxy is of, in a table with parts, for cut off without any evidence; only a probe or a joining ends that. Ruled out: news and calls (no fault in the logs), the list (told in time).

Change: where nothing may be probed, such a zone is asked by visits: at once where no warm server is at hand, else a ramp after, while those at hand are strained; then only what was asked and not answered cuts it off.

Deployments that may probe change nothing here. Tests: three in tests/planner.rs, each fails without the change.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -78,8 +78,9 @@
     gone: BTreeMap<usize, (f64, Proxy)>,
     /// What is written to the proxies of each part of the shared table.
     channel: Channel,
-    /// Zones that no joined proxy reaches.
+    /// Zones that no joined proxy reaches, and those that are asked all the same, for need.
     cut: Vec<bool>,
+    abroad: Vec<bool>,
     /// The share of the dearest visits let in, when that last moved, and what was ordered by class.
     level: f64,
     level_since: f64,
@@ -155,6 +156,7 @@
             proxies: BTreeMap::new(),
             gone: BTreeMap::new(),
             cut: vec![false; told.zones],
+            abroad: vec![false; told.zones],
             level: 1.0,
             level_since: now,
             ways: vec![(1.0, told.usual_tries); told.classes.len()],
@@ -222,11 +224,14 @@
         self.ask_at = now + TICK_MS;
     }
 
-    /// A proxy joins, to which so many visits come by millisecond.
+    /// A proxy joins, to which so many visits come by millisecond. What it was written before it left
+    /// counts: whoever limits messages counts them by proxy, not by stream.
     pub fn proxy_joined(&mut self, proxy: usize, zone: usize, pace: f64) {
-        let classes = self.ways.len();
-        self.proxies.insert(proxy, Proxy::of(zone, pace, classes));
-        self.gone.remove(&proxy);
+        let mut fresh = Proxy::of(zone, pace, self.ways.len());
+        if let Some((_, before)) = self.gone.remove(&proxy) {
+            fresh.remembers(before);
+        }
+        self.proxies.insert(proxy, fresh);
     }
 
     pub fn proxy_left(&mut self, proxy: usize) {
@@ -345,7 +350,13 @@
             let expected = here.0 * there.1 / here.1.max(f64::MIN_POSITIVE);
             let missed = expected >= ENOUGH && there.0 < expected * STRAIN_FAILING;
             let apart = !self.cut[*zone] && !self.joined(*zone);
-            apart && (missed || self.channel.parts.len() > 1)
+            let (far, parted) = (self.abroad[*zone], self.channel.parts.len() > 1);
+            apart
+                && if far {
+                    missed && self.asked(*zone)
+                } else {
+                    missed || parted
+                }
         };
         let Some(zone) = (0..self.cut.len()).find(off) else {
             return false;
@@ -354,14 +365,32 @@
         true
     }
 
-    /// Back from a cut, without a ramp: a proxy of that zone has joined, or a server there answers.
+    /// Back from a cut, without a ramp: a proxy of that zone has joined, or a server there answers. Where
+    /// nothing may be probed and proxies join their own zone's controller, neither ever comes: then the
+    /// zone is asked by visits: at once where no warm server is at hand, or, a ramp after it was cut,
+    /// while those at hand are strained. Guards against a zone's jam beside idle ones, and against a
+    /// lost zone's proxies that all fall on its first servers to return. May harm while a cut lasts.
     fn see_a_link_mended(&mut self) -> bool {
         let answer = |s: &Server| s.ready() && s.answered > s.judged;
         let answers = |zone| self.first(|s| s.zone == zone && answer(s)).is_some();
-        let mended = |zone: &usize| self.cut[*zone] && (self.joined(*zone) || answers(*zone));
+        let warm = |s: &Server| s.ready() && !s.cold && !self.cut[s.zone];
+        let (none, strained) = (
+            self.first(warm).is_none(),
+            self.strained(self.norms.half, STRAIN),
+        );
+        let lately = |s: &Server| self.now - s.judged < RAMP_TICKS * TICK_MS;
+        let long = |zone| self.first(|s| s.zone == zone && lately(s)).is_none();
+        let needed = |zone: usize| {
+            // At once only where nothing but its absence spoke against it.
+            let unasked = none && !self.abroad[zone];
+            !self.told.may_probe && (unasked || (none || strained) && long(zone))
+        };
+        let told = |zone| self.joined(zone) || answers(zone);
+        let mended = |zone: &usize| self.cut[*zone] && (told(*zone) || needed(*zone));
         let Some(zone) = (0..self.cut.len()).find(mended) else {
             return false;
         };
+        self.abroad[zone] = !told(zone);
         self.tick = self.now;
         self.forgive(zone, false, "is reached again");
         true
@@ -486,11 +515,10 @@
     /// as there. Guards against a zone that is being cut off, whose parts seem idle just before.
     fn bind_a_proxy(&mut self) -> bool {
         let (now, ramp) = (self.now, RAMP_TICKS * TICK_MS);
-        self.gone.retain(|_, (at, _)| now - *at < ramp);
-        let all = self
-            .proxies
-            .values()
-            .chain(self.gone.values().map(|g| &g.1));
+        let kept = ramp.max(self.channel.span_ms);
+        self.gone.retain(|_, (at, _)| now - *at < kept);
+        let lately = self.gone.values().filter(|(at, _)| now - at < ramp);
+        let all = self.proxies.values().chain(lately.map(|(_, p)| p));
         let loads = self.channel.loads(&self.servers, all, &self.cut);
         let cost = |p: &Proxy, part: usize, more: f64| {
             let away = self.channel.parts[part].away(p.zone);
@@ -544,6 +572,12 @@
         self.servers.iter().filter(|s| s.ready())
     }
 
+    /// Visits have come to servers of a zone lately.
+    fn asked(&self, zone: usize) -> bool {
+        let there = self.ready().filter(|s| s.zone == zone);
+        there.map(|s| s.lately.tries).sum::<f64>() >= ENOUGH
+    }
+
     fn joined(&self, zone: usize) -> bool {
         self.proxies.values().any(|p| p.zone == zone)
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -214,6 +214,11 @@
         }
     }
 
+    /// It has come back: what it was written lately still counts.
+    pub fn remembers(&mut self, before: Proxy) {
+        self.written = before.written;
+    }
+
     /// What came of a class moves its pace half the way.
     pub fn came(&mut self, class: usize, pace: f64) {
         self.paces[class] = (self.paces[class] + pace) / 2.0;
@@ -282,7 +287,8 @@
     /// Lines that this reply adds for proxies that no part counts.
     strays: f64,
     message_lines: f64,
-    span_ms: f64,
+    /// Messages to a proxy are counted over this long (ms).
+    pub span_ms: f64,
     /// The last message's number, and the newest that a proxy has answered for.
     number: u64,
     past: u64,
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -638,3 +638,150 @@
     fleet.pass(8, one(3, None, WELL));
     assert!(fleet.line(3) > 0.0);
 }
+
+#[test]
+fn messages_written_before_a_proxy_left_and_came_back_still_count() {
+    let told = but(|o| o.most_messages = 10.0);
+    let mut fleet = Fleet::of(6, &told);
+    fleet.messages = 0;
+    for round in 0..40 {
+        fleet.now += 200.0;
+        // Half-way all of them leave and join anew, as where a controller's news broke.
+        if round == 20 {
+            let (before, now) = (fleet.messages, fleet.now);
+            fleet.tell(|p, _| (0..4).for_each(|proxy| p.proxy_left(proxy)));
+            fleet.tell(|p, _| (0..4).for_each(|i| p.proxy_joined(i, i % 2, PACE)));
+            assert!(before > 2 && now < 1e6 + 10_000.0);
+        }
+        let standing = [Standing::Gone, Standing::Ready][round % 2];
+        let flaps = listed(round % 5, standing, Some(fleet.now));
+        fleet.list(Extent::Changes, &[flaps]);
+    }
+    assert!(fleet.messages <= 10, "{}", fleet.messages);
+}
+
+/// A controller of zone 0, whose proxies are all of that zone and which may not probe; zone 1 is asked by
+/// others. Both zones have parts of the table.
+struct Homely {
+    planner: Planner,
+    parts: Vec<usize>,
+    now: f64,
+    bound: BTreeMap<usize, usize>,
+    notes: Vec<String>,
+}
+
+impl Homely {
+    fn new() -> Homely {
+        let told = but(|o| (o.may_probe, o.most_waiting) = (false, 1e6));
+        let mut planner = Planner::begun(0.0, 7, &told);
+        planner.roster_changed(0.0, Extent::Remembered, &ready(120));
+        (0..60).for_each(|p| planner.proxy_joined(p, 0, 0.002));
+        let mut homely = Homely {
+            planner,
+            parts: vec![usize::MAX; 120],
+            now: 0.0,
+            bound: BTreeMap::new(),
+            notes: Vec::new(),
+        };
+        homely.decide();
+        homely
+    }
+
+    fn decide(&mut self) {
+        let orders = self.planner.decide(self.now);
+        orders.lines.iter().for_each(|l| self.parts[l.1] = l.0);
+        self.bound.extend(orders.binds);
+        self.notes.extend(orders.notes);
+        (0..60).for_each(|p| {
+            self.planner
+                .orders_applied(p, orders.mark.unwrap_or_default())
+        });
+    }
+
+    /// Seconds pass in which servers that proxies are bound to are met so, by zone.
+    fn pass(&mut self, seconds: usize, seen: impl Fn(usize) -> Seen) {
+        for _ in 0..seconds {
+            self.now += 1000.0;
+            for server in 0..120 {
+                let used = self.bound.values().any(|part| *part == self.parts[server]);
+                if let Some((tries, failed, mean_ms)) = seen(server % 2).filter(|_| used) {
+                    let met = Met {
+                        zone: 0,
+                        server,
+                        tries,
+                        failed,
+                        mean_ms,
+                        window_ms: 1000.0,
+                    };
+                    self.planner.tries_met(self.now, &met);
+                }
+            }
+            self.decide();
+        }
+    }
+
+    /// Proxies that are bound to servers of zone 1.
+    fn abroad(&self) -> usize {
+        let away = |part: &&usize| (1..120).step_by(2).any(|s| self.parts[s] == **part);
+        self.bound.values().filter(away).count()
+    }
+}
+
+#[test]
+fn a_zone_that_nobody_may_ask_is_asked_by_visits_in_need() {
+    const JAMMED: Seen = Some((10.0, 0.0, 900.0));
+    const DEAD: Seen = Some((10.0, 10.0, 0.0));
+    type Case = (&'static str, Seen, Seen, std::ops::RangeInclusive<usize>);
+    let cases: [Case; 3] = [
+        ("home does well", WELL, WELL, 0..=0),
+        (
+            "home is jammed, the other zone is not",
+            JAMMED,
+            WELL,
+            20..=50,
+        ),
+        (
+            "home is jammed, the other zone is cut off",
+            JAMMED,
+            DEAD,
+            0..=0,
+        ),
+    ];
+    for (case, home, away, wanted) in cases {
+        let mut homely = Homely::new();
+        homely.pass(9, |zone| [home, away][zone]);
+        assert_eq!(homely.abroad(), 0, "{case}: no sooner than a ramp");
+        homely.pass(8, |zone| [home, away][zone]);
+        let notes = homely.notes.iter().filter(|n| n.starts_with("zone"));
+        let (abroad, notes) = (homely.abroad(), notes.collect::<Vec<_>>());
+        assert!(wanted.contains(&abroad), "{case}: {abroad} {notes:?}");
+        assert!(notes.len() <= 3, "{case}: no verdict flaps: {notes:?}");
+    }
+}
+
+#[test]
+fn proxies_of_a_lost_zone_do_not_wait_for_its_first_servers_to_return() {
+    let mut homely = Homely::new();
+    homely.pass(4, |_| WELL);
+    let home = |standing, started| move |s: usize| listed(2 * s, standing, started);
+    let gone: Vec<Listed> = (0..60).map(home(Standing::Gone, None)).collect();
+    homely
+        .planner
+        .roster_changed(homely.now, Extent::Changes, &gone);
+    homely.decide();
+    assert_eq!(homely.abroad(), 60, "{:?}", homely.notes);
+    // Four of them return, cold: what they can do is no home for all.
+    let first: Vec<Listed> = (0..4)
+        .map(home(Standing::Ready, Some(homely.now)))
+        .collect();
+    homely
+        .planner
+        .roster_changed(homely.now, Extent::Changes, &first);
+    homely.decide();
+    assert!(
+        homely.abroad() > 50,
+        "{} {:?}",
+        homely.abroad(),
+        homely.notes
+    );
+}
