Rare moments on real connections: fourteen tests that make the bad order happen every time

Calls are held open by the relay's stand-in, the controller is stopped while bytes and connections queue up in a known order, a file is a pipe whose reader waits for its writer; no sleeps, no timed asserts.

The stand-ins gained gauges, holds and silences.

--- /dev/null
+++ b/crates/daemon/tests/rare.rs
@@ -0,0 +1,383 @@
+//! Rare moments, on real connections: each test makes the bad order happen. A peer's bytes are held at a
+//! barrier, or the controller is stopped while they come, so that no test waits for luck or for a clock.
+
+mod common;
+
+use common::{Node, command, configuration, file, serving, withdrawn};
+use dahliapoint_standins::platform::{Discovery, Fault, Relay, until};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::process::Command;
+
+impl Node {
+    /// Nothing is read by it until it goes on; what comes meanwhile waits in the order in which it came.
+    fn while_stopped<T>(&self, happens: impl FnOnce() -> T) -> T {
+        self.signal("STOP");
+        let out = happens();
+        self.signal("CONT");
+        out
+    }
+}
+
+/// All that a socket still says, up to a clean end.
+fn rest(mut socket: &TcpStream) -> Result<String, std::io::ErrorKind> {
+    let mut said = String::new();
+    let read = socket.read_to_string(&mut said);
+    read.map(|_| said).map_err(|e| e.kind())
+}
+
+/// A call that was made from now on: the next one of which that is true.
+fn call_with(relay: &Relay, from: usize, order: &str) -> Option<String> {
+    relay.with(|held| {
+        let mut calls = held.calls.iter().skip(from);
+        calls.find(|c| c.contains(order)).cloned()
+    })
+}
+
+fn mark(call: &str) -> &str {
+    let order = call.rsplit(';').next().unwrap_or_default();
+    assert!(order.starts_with("mark,"), "{call}");
+    order
+}
+
+// ---- calls ----
+
+#[test]
+fn an_answer_to_a_mark_before_the_end_of_its_call_is_remembered() {
+    let (relay, _discovery, node) = serving();
+    let before = relay.with(|held| {
+        held.faults.push_back(Fault::Hold);
+        held.join(9);
+        held.calls.len()
+    });
+    // The call is carried out and its mark answered, on both followers; its own answer is held.
+    assert!(until(|| relay.with(|held| held.holding == 1)));
+    let held = call_with(&relay, before, "bind,9,").unwrap();
+    // Whoever asks now is answered behind what the followers brought.
+    assert!(node.is_alive());
+    relay.with(|held| held.let_go = true);
+    // The next decision is made, and nothing of the call that broke goes again, before it or behind it.
+    relay.with(|held| held.join(10));
+    assert!(until(|| call_with(&relay, before, "bind,10,").is_some()));
+    relay.with(|held| held.join(11));
+    assert!(until(|| call_with(&relay, before, "bind,11,").is_some()));
+    let same = |c: &&String| mark(c) == mark(&held);
+    let times = relay.with(|h| h.calls.iter().skip(before).filter(same).count());
+    assert_eq!((times, relay.with(|h| h.bound[&9])), (1, 1));
+}
+
+#[test]
+fn a_connection_that_said_more_than_its_answer_is_not_used_again() {
+    let (relay, _discovery, _node) = serving();
+    for (proxy, more) in [(9, "OK 0\r\n"), (10, "O")] {
+        let before = relay.with(|held| {
+            held.faults.push_back(Fault::Trailing(more));
+            held.join(proxy);
+            held.calls.len()
+        });
+        let name = format!("bind,{proxy},");
+        assert!(until(|| call_with(&relay, before, &name).is_some()));
+        let next = relay.with(|held| {
+            held.join(proxy + 10);
+            held.calls.len()
+        });
+        let name = format!("bind,{},", proxy + 10);
+        assert!(until(|| call_with(&relay, next, &name).is_some()));
+        let (odd, then) = relay.with(|held| (held.came_on[before], held.came_on[next]));
+        assert_ne!(odd, then, "{more:?}");
+    }
+}
+
+// ---- the controller's address ----
+
+/// As many strangers as the limit on descriptors leaves room for beside one who asks; the first is the oldest.
+fn full(node: &Node) -> Vec<TcpStream> {
+    (0..37).map(|_| node.connect()).collect()
+}
+
+#[test]
+fn who_is_put_out_for_room_is_answered_what_it_had_asked() {
+    let (_relay, _discovery, node) = serving();
+    for _ in 0..5 {
+        let strangers = full(&node);
+        assert!(node.is_alive());
+        let newcomers = node.while_stopped(|| {
+            // Those who need the room come first, then the question of the one who is to go.
+            let newcomers: Vec<TcpStream> = (0..20).map(|_| node.connect()).collect();
+            for mut oldest in strangers.iter().take(15) {
+                oldest.write_all(b"probe\r\n").unwrap();
+            }
+            newcomers
+        });
+        for oldest in strangers.iter().take(15) {
+            let mut said = [0; 7];
+            let read = { oldest }.read_exact(&mut said);
+            assert!(read.is_ok() && &said == b"alive\r\n", "{read:?}");
+        }
+        drop((strangers, newcomers));
+    }
+}
+
+#[test]
+fn who_joins_as_it_is_put_out_for_room_is_a_collector_that_counts() {
+    let (relay, _discovery, node) = serving();
+    let strangers = full(&node);
+    assert!(node.is_alive());
+    let newcomers = node.while_stopped(|| {
+        let newcomers: Vec<TcpStream> = (0..20).map(|_| node.connect()).collect();
+        let mut oldest = &strangers[1];
+        oldest.write_all(b"agent zone=a\r\n").unwrap();
+        newcomers
+    });
+    // All that has been seen to: it has been put out by now, or it stays.
+    assert!(node.is_alive());
+    let line = |server: usize, failed| {
+        format!(
+            "outcomes zone=a server=s-{server} tries=40 failed={failed} mean_ms=90.5 span_ms=1000.0\r\n"
+        )
+    };
+    let reports: String = [(1, 0), (2, 0), (3, 40)]
+        .into_iter()
+        .map(|(s, f)| line(s, f))
+        .collect();
+    assert!(until(|| {
+        let mut collector = &strangers[1];
+        collector.write_all(reports.as_bytes()).unwrap();
+        relay.with(|held| held.lines.get("s-3") == Some(&0.0))
+    }));
+    drop(newcomers);
+}
+
+#[test]
+fn an_error_is_read_to_its_end_whatever_was_sent_behind_the_cause() {
+    let (_relay, _discovery, node) = serving();
+    for sent in [
+        [b"txn clear,0\r\n".to_vec(), vec![b'x'; 30_000]].concat(),
+        [b"probe\r\ntxn clear,0\r\n".to_vec(), vec![b'\n'; 30_000]].concat(),
+        vec![b'x'; 30_000],
+    ] {
+        let socket = node.while_stopped(|| {
+            let mut socket = node.connect();
+            socket.write_all(&sent).unwrap();
+            socket
+        });
+        let said = rest(&socket);
+        assert!(
+            said.as_deref().is_ok_and(|s| s.ends_with("error\r\n")),
+            "{said:?}"
+        );
+    }
+}
+
+// ---- lists ----
+
+#[test]
+fn a_list_cut_at_every_byte_and_one_without_its_last_line_end_are_told_all_the_same() {
+    let (relay, discovery, _node) = serving();
+    discovery.with(|l| {
+        l.bytewise = true;
+        l.set("s-1", "draining");
+    });
+    assert!(until(|| relay.with(|held| withdrawn(held, "s-1"))));
+    // The body ends in the middle: the next watch asks for what came after the version that stands.
+    discovery.with(|l| l.set_unended("s-2", "draining"));
+    assert!(until(|| relay.with(|held| withdrawn(held, "s-2"))));
+}
+
+#[test]
+fn a_discovery_whose_versions_begin_anew_is_believed_in_the_end() {
+    let (relay, discovery, _node) = serving();
+    discovery.with(|l| {
+        l.restart(2);
+        l.servers.insert("s-1".into(), "draining");
+    });
+    assert!(until(|| relay.with(|held| withdrawn(held, "s-1"))));
+    // From there on its changes are told by the new numbers.
+    discovery.with(|l| l.set("s-2", "draining"));
+    assert!(until(|| relay.with(|held| withdrawn(held, "s-2"))));
+}
+
+// ---- silence ----
+
+#[test]
+fn a_silence_that_goes_on_keeps_two_watches_and_two_followers_a_seat() {
+    let (relay, discovery, node) = serving();
+    let (other, elsewhere) = (relay.also(), discovery.also());
+    let asked = discovery.with(|l| {
+        l.fall_silent();
+        l.mute = true;
+        l.watching.ever
+    });
+    let followed = relay.with(|held| {
+        held.mute = true;
+        held.following.ever
+    });
+    assert!(until(|| discovery.with(|l| l.watching.ever) >= asked + 2));
+    assert!(until(
+        || relay.with(|held| held.following.ever) >= followed + 3
+    ));
+    // A new configuration in the middle of it.
+    node.moves_to(&other, &elsewhere);
+    assert!(until(|| discovery.with(|l| l.watching.ever) >= asked + 5));
+    assert!(until(
+        || relay.with(|held| held.following.ever) >= followed + 8
+    ));
+    let watches = discovery.with(|l| l.watching);
+    let followers = relay.with(|held| held.following);
+    assert!(watches.most <= 2, "{watches:?}");
+    assert!(followers.most <= 4, "{followers:?}");
+    // It ends: what was missed is told.
+    relay.with(|held| held.mute = false);
+    discovery.with(|l| {
+        l.mute = false;
+        l.set("s-1", "draining");
+    });
+    relay.with(|held| held.join(12));
+    assert!(until(
+        || relay.with(|held| withdrawn(held, "s-1") && held.bare().is_empty())
+    ));
+    assert!(until(|| relay.with(|held| held.following.open) == 2));
+    assert!(until(|| discovery.with(|l| l.watching.open) == 1));
+}
+
+// ---- SIGHUP ----
+
+fn fifo() -> std::path::PathBuf {
+    let path = file();
+    assert!(
+        Command::new("mkfifo")
+            .arg(&path)
+            .status()
+            .unwrap()
+            .success()
+    );
+    path
+}
+
+#[test]
+fn a_configuration_that_is_read_half_written_is_read_again_without_another_signal() {
+    let (relay, discovery, node) = serving();
+    let (other, elsewhere) = (relay.also(), discovery.also());
+    let text = configuration(node.address, other.address, elsewhere.address, "null");
+    // Whoever reads the file waits for its writer; what it gets is the first half.
+    let path = fifo();
+    std::fs::rename(&path, &node.file).unwrap();
+    node.signal("HUP");
+    let mut half = std::fs::OpenOptions::new()
+        .write(true)
+        .open(&node.file)
+        .unwrap();
+    std::fs::write(&path, &text).unwrap();
+    std::fs::rename(&path, &node.file).unwrap();
+    half.write_all(&text.as_bytes()[..text.len() / 2]).unwrap();
+    let asked = discovery.with(|l| l.watching.ever);
+    drop(half);
+    assert!(until(|| discovery.with(|l| l.watching.ever) > asked));
+}
+
+#[test]
+fn there_and_back_again_loses_no_binding() {
+    let (relay, discovery, node) = serving();
+    let (other, elsewhere) = (relay.also(), discovery.also());
+    let before = relay.with(|held| {
+        // A call is under way meanwhile.
+        held.faults.push_back(Fault::Hold);
+        held.join(9);
+        held.following.ever
+    });
+    assert!(until(|| relay.with(|held| held.holding == 1)));
+    node.moves_to(&other, &elsewhere);
+    assert!(until(|| relay.with(|held| held.following.ever) > before));
+    node.moves_to(&relay, &discovery);
+    relay.with(|held| held.let_go = true);
+    discovery.with(|l| l.set("s-1", "draining"));
+    assert!(until(|| relay.with(|held| withdrawn(held, "s-1"))));
+    relay.with(|held| held.join(11));
+    assert!(until(|| relay.with(|held| held.bare().is_empty())));
+    let bound = relay.with(|held| held.bound.clone());
+    assert!(bound.values().all(|times| *times == 1), "{bound:?}");
+    assert!(until(|| relay.with(|held| held.following.open) == 2));
+    assert!(until(|| discovery.with(|l| l.watching.open) == 1));
+}
+
+// ---- SIGTERM ----
+
+fn ends_well(mut node: Node) {
+    node.signal("TERM");
+    assert!(until(|| node.child.try_wait().unwrap().is_some()));
+    assert_eq!(node.child.wait().unwrap().code(), Some(0));
+}
+
+#[test]
+fn told_to_end_while_a_new_configuration_is_read_it_ends() {
+    let (_relay, _discovery, node) = serving();
+    // Nobody writes it: whoever reads waits.
+    let path = fifo();
+    std::fs::rename(&path, &node.file).unwrap();
+    node.signal("HUP");
+    ends_well(node);
+}
+
+#[test]
+fn told_to_end_between_a_call_and_its_answer_it_leaves_the_call_whole() {
+    let (relay, _discovery, node) = serving();
+    let before = relay.with(|held| {
+        held.faults.push_back(Fault::Hold);
+        held.join(9);
+        held.calls.len()
+    });
+    assert!(until(|| relay.with(|held| held.holding == 1)));
+    node.signal("HUP");
+    ends_well(node);
+    relay.with(|held| held.let_go = true);
+    let calls = relay.with(|held| held.calls[before..].to_vec());
+    assert!(calls.iter().all(|c| mark(c).ends_with(",0")), "{calls:?}");
+}
+
+#[test]
+fn told_to_end_before_anything_answers_and_under_a_flood_it_ends() {
+    let (relay, discovery) = (Relay::begin(), Discovery::begin(&["s-1"]));
+    discovery.with(|l| l.mute = true);
+    (0..100).for_each(|_| relay.with(|held| held.faults.push_back(Fault::TooMany)));
+    ends_well(Node::start(&relay, &discovery));
+
+    let (_relay, _discovery, node) = serving();
+    let mut collector = node.connect();
+    collector.write_all(b"agent zone=a\r\n").unwrap();
+    let flood = std::thread::spawn(move || {
+        let line = b"outcomes zone=a server=s-1 tries=4 failed=0 mean_ms=90.5 span_ms=1000.0\r\n";
+        let lines = line.repeat(2000);
+        while collector.write_all(&lines).is_ok() {}
+    });
+    ends_well(node);
+    flood.join().unwrap();
+}
+
+// ---- the start ----
+
+#[test]
+fn a_controller_is_alive_before_anybody_answers_it_and_serves_by_its_old_list() {
+    let (relay, discovery) = (Relay::begin(), Discovery::begin(&["s-1", "s-2"]));
+    discovery.with(|l| l.mute = true);
+    (0..20).for_each(|_| relay.with(|held| held.faults.push_back(Fault::TooMany)));
+    relay.with(|held| held.join(3));
+    // Ready is whoever answers `probe`; here discovery says nothing and the relay turns calls away.
+    let node = Node::start(&relay, &discovery);
+    assert!(node.is_alive());
+    assert!(until(
+        || relay.with(|held| held.bare().is_empty() && held.lines.len() == 2)
+    ));
+    // The list differs from what was known: s-1 has gone unseen.
+    discovery.with(|l| {
+        l.servers.remove("s-1");
+        l.index += 5;
+        l.mute = false;
+    });
+    assert!(until(|| relay.with(|held| withdrawn(held, "s-1"))));
+    assert!(!relay.with(|held| withdrawn(held, "s-2")));
+    // Bad settings end it before it serves, also now.
+    let path = file();
+    std::fs::write(&path, "{").unwrap();
+    assert_eq!(command(&path).status().unwrap().code(), Some(2));
+    let _ = std::fs::remove_file(&path);
+}
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -36,6 +36,26 @@
     /// Answers what cannot be read, the call carried out.
     Garble,
     TooMany,
+    /// Carries the call out, answers nothing, and breaks once it is let go.
+    Hold,
+    /// Answers, and says more in the same breath.
+    Trailing(&'static str),
+}
+
+/// Connections of one kind: how many are open, how many ever were, and the most at a time.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Gauge {
+    pub open: usize,
+    pub ever: usize,
+    pub most: usize,
+}
+
+impl Gauge {
+    fn opened(&mut self) {
+        self.open += 1;
+        self.ever += 1;
+        self.most = self.most.max(self.open);
+    }
 }
 
 /// What proxies hold, as the orders left them.
@@ -47,7 +67,16 @@
     pub withdrawn: BTreeSet<String>,
     pub lines: BTreeMap<String, f64>,
     pub calls: Vec<String>,
+    /// The connection that each call came on, by its number.
+    pub came_on: Vec<usize>,
     pub faults: VecDeque<Fault>,
+    /// Calls that are held now, and whether they are let go.
+    pub holding: usize,
+    pub let_go: bool,
+    /// Followers are told what stands and nothing more.
+    pub mute: bool,
+    pub following: Gauge,
+    connections: usize,
     followers: Vec<TcpStream>,
     callers: Vec<TcpStream>,
 }
@@ -67,6 +96,9 @@
     }
 
     fn tell(&mut self, line: &str) {
+        if self.mute {
+            return;
+        }
         self.followers
             .retain_mut(|f| f.write_all(line.as_bytes()).is_ok());
     }
@@ -187,15 +219,32 @@
     let Ok(mut out) = socket.try_clone() else {
         return;
     };
-    if let Ok(handle) = socket.try_clone() {
-        lock(state).callers.push(handle);
-    }
+    let mut held = lock(state);
+    held.connections += 1;
+    let number = held.connections;
+    held.callers.extend(socket.try_clone());
+    drop(held);
+    let mut follows = false;
+    serve(state, &mut out, socket, number, &mut follows);
+    lock(state).following.open -= usize::from(follows);
+}
+
+fn serve(
+    state: &Arc<Mutex<Held>>,
+    out: &mut TcpStream,
+    socket: TcpStream,
+    number: usize,
+    follows: &mut bool,
+) {
     for line in BufReader::new(socket).lines() {
         let Ok(line) = line else {
             return;
         };
         if line == "follow" {
             let mut held = lock(state);
+            if !std::mem::replace(follows, true) {
+                held.following.opened();
+            }
             let mut stands = String::from("OK\r\n");
             for p in &held.joined {
                 stands.push_str(&format!("* hello {p} a 2.5 0\r\n"));
@@ -222,6 +271,8 @@
             _ => usize::MAX,
         };
         held.calls.push(orders.to_string());
+        held.came_on.push(number);
+        held.holding += usize::from(fault == Some(Fault::Hold));
         let taken = orders
             .split(';')
             .take(most)
@@ -234,6 +285,15 @@
                 return;
             }
             Some(Fault::Silence { .. }) => continue,
+            Some(Fault::Hold) => {
+                while !lock(state).let_go {
+                    std::thread::sleep(Duration::from_millis(1));
+                }
+                lock(state).holding -= 1;
+                let _ = out.shutdown(Shutdown::Both);
+                return;
+            }
+            Some(Fault::Trailing(more)) => format!("OK {taken}\r\n{more}"),
             Some(Fault::Garble) => "OK many\r\n".into(),
             Some(Fault::TooMany) => "too_many_calls\r\n".into(),
             Some(Fault::Halt(_)) | None => format!("OK {taken}\r\n"),
@@ -252,6 +312,11 @@
     /// Those of before are kept open and told nothing more.
     deaf: Vec<TcpStream>,
     pub asked: usize,
+    /// Whoever asks is told nothing at all.
+    pub mute: bool,
+    /// Each byte is written by itself.
+    pub bytewise: bool,
+    pub watching: Gauge,
 }
 
 impl Listing {
@@ -289,7 +354,32 @@
     }
 
     fn tell(&mut self, line: &str) {
-        self.watches.retain_mut(|w| chunk(w, line));
+        let bytewise = self.bytewise;
+        self.watches.retain_mut(|w| chunk(w, line, bytewise));
+    }
+
+    /// The last of a change is not sent: the body ends without the line's end, and the watch with it.
+    pub fn set_unended(&mut self, name: &str, status: &'static str) {
+        self.index += 1;
+        self.servers.insert(name.into(), status);
+        let change = Listing::entry(name, status);
+        let line = format!(
+            "{{\"index\":{},\"snapshot\":false,\"endpoints\":[{change}]}}",
+            self.index
+        );
+        self.tell(&line);
+        for mut w in self.watches.drain(..) {
+            let _ = w.write_all(b"0\r\n\r\n");
+            let _ = w.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// It begins anew: other versions, and those who watched are cut off.
+    pub fn restart(&mut self, index: u64) {
+        self.index = index;
+        for w in self.watches.drain(..) {
+            let _ = w.shutdown(Shutdown::Both);
+        }
     }
 
     /// Those who watch now hear nothing more, and get no sign of it.
@@ -302,8 +392,14 @@
     }
 }
 
-/// One chunk, cut in two where it hurts.
-fn chunk(to: &mut TcpStream, text: &str) -> bool {
+/// One chunk, cut in two where it hurts; or every byte a chunk's, and a write, of its own.
+fn chunk(to: &mut TcpStream, text: &str, bytewise: bool) -> bool {
+    if bytewise {
+        let mut bytes = text
+            .bytes()
+            .flat_map(|b| [b'1', b'\r', b'\n', b, b'\r', b'\n']);
+        return bytes.all(|b| to.write_all(&[b]).is_ok());
+    }
     let (first, second) = text.split_at(text.len() / 2);
     [first, second]
         .iter()
@@ -358,14 +454,21 @@
     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     let mut listing = lock(state);
     listing.asked += 1;
-    let mut told = out.write_all(head.as_bytes()).is_ok();
-    if after != Some(listing.index) {
-        let whole = listing.whole() + "\n";
-        told &= chunk(&mut out, &whole);
-    }
-    if told {
-        listing.watches.push(out);
+    listing.watching.opened();
+    if !listing.mute {
+        let mut told = out.write_all(head.as_bytes()).is_ok();
+        if after != Some(listing.index) {
+            let whole = listing.whole() + "\n";
+            told &= chunk(&mut out, &whole, listing.bytewise);
+        }
+        if told {
+            listing.watches.push(out);
+        }
     }
+    drop(listing);
+    // Nothing more is asked: this ends with the connection.
+    while let Some(Ok(_)) = lines.next() {}
+    lock(state).watching.open -= 1;
 }
 
 #[cfg(test)]
