A log that nobody reads holds nothing up: lines are lost instead

Seen by a test: with standard error a pipe that is not read, 64 KiB of log stopped the owner in a write without an end; no proxy was bound any more and SIGTERM was not heeded.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -68,6 +68,11 @@
 
 impl Node {
     pub fn start(relay: &Relay, discovery: &Discovery) -> Node {
+        Node::start_as(relay, discovery, |_| ())
+    }
+
+    /// Started in a way of the test's own.
+    pub fn start_as(relay: &Relay, discovery: &Discovery, how: fn(&mut Command)) -> Node {
         // A port that was free a moment ago; who loses it to another test tries the next.
         for _ in 0..20 {
             let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -80,7 +85,9 @@
                 configuration(address, relay.address, discovery.address, &known),
             )
             .unwrap();
-            let child = command(&file).spawn().unwrap();
+            let mut command = command(&file);
+            how(&mut command);
+            let child = command.spawn().unwrap();
             let mut node = Node {
                 child,
                 file,
--- a/crates/daemon/tests/rare.rs
+++ b/crates/daemon/tests/rare.rs
@@ -353,6 +353,31 @@
     flood.join().unwrap();
 }
 
+#[test]
+fn a_log_that_nobody_reads_holds_nothing_up() {
+    let (relay, discovery) = (Relay::begin(), Discovery::begin(&["s-1", "s-2", "s-3"]));
+    // Its standard error is a pipe of 64 KiB that is never read.
+    let node = Node::start_as(&relay, &discovery, |command| {
+        let debug = command.env("DAHLIAPOINT_LOG", "debug");
+        debug.stderr(std::process::Stdio::piped());
+    });
+    // Each joining is a line of some hundred bytes, each report one for every server.
+    let mut collector = node.connect();
+    collector.write_all(b"agent zone=a\r\n").unwrap();
+    let report = "outcomes zone=a server=s-1 tries=4 failed=0 mean_ms=90.5 span_ms=1000.0\r\n";
+    for round in 0..300 {
+        collector.write_all(report.as_bytes()).unwrap();
+        let proxy = round % 30;
+        relay.with(|held| held.join(proxy));
+        assert!(
+            until(|| relay.with(|held| held.bare().is_empty())),
+            "{round}"
+        );
+        relay.with(|held| held.leave(proxy));
+    }
+    ends_well(node);
+}
+
 // ---- the start ----
 
 #[test]
--- a/crates/node/src/life.rs
+++ b/crates/node/src/life.rs
@@ -11,12 +11,15 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tracing_appender::non_blocking::NonBlockingBuilder;
 use tracing_subscriber::EnvFilter;
 
 /// The variable that names the configuration file (DEPLOY, "What a controller is told").
 const FILE: &str = "NODE_CONFIG";
 /// What the log tells of; `debug` adds what is believed of each server.
 const LOG: &str = "DAHLIAPOINT_LOG";
+/// Lines that wait for whoever reads the log; at `debug` one moment writes up to a line a server.
+const LOG_LINES: usize = 2048;
 /// What the old addresses name closes its connections so long after the signal (DAYS, "New configurations
 /// and restarts"): until then a file that is still being written is read again.
 const WRITTEN_WITHIN: Duration = Duration::from_millis(1500);
@@ -36,9 +39,16 @@
     // The runtime tells of every socket at `info`, and of every signal as an error.
     let filter = EnvFilter::try_new(format!("{level},may=warn,may::io::event_loop=off"));
     let filter = filter.map_err(|e| format!("{LOG}: {e}"))?;
+    // Whoever reads the log may stop: lines are then lost, and nothing here waits. The guard would wait
+    // for them at the end, so it is kept until the process is gone.
+    let (log, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(LOG_LINES)
+        .finish(std::io::stderr());
+    std::mem::forget(guard);
     tracing_subscriber::fmt()
         .with_env_filter(filter)
-        .with_writer(std::io::stderr)
+        .with_writer(log)
         .with_ansi(false)
         .init();
     let listener = dahliapoint_fibers::listen(told.listen)
