Messages count by part and by proxy: one that was written much holds up no other

Followed in the debug log of controller 1: at 16.4 s a drain of 20 leaves part 3 three lines of 2.29 in all, two of them cold, with 68 proxies bound to it; from there to 20.1 s nothing is written to anybody, since the busiest proxy of all parts had 10 to 12 messages and 9.1 were the bound (rules.rs, fits). Ruled out: the calls (each taken at once), the list, the budget of lines.

A proxy bound within a tick is not moved on unless it presses.

Test: a_part_that_was_written_much_... fails without the change.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -64,8 +64,12 @@
 /// Shares of the backlog that lines may fill: tables that can wait, and falls and returns.
 const HALF: f64 = 0.5;
 const URGENT: f64 = 0.7;
-/// A part is this much busier than the least busy one before proxies are moved.
+/// A part is this much busier than the least busy one before proxies are moved; and before that presses.
 const UNEVEN: f64 = 1.2;
+const JAMMED: f64 = 2.0;
+/// Of the messages that a proxy may be written: what can wait, and what presses.
+const USUAL: f64 = 0.7;
+const PRESSING: f64 = 0.85;
 /// What a part of another zone must be less busy by.
 const AWAY: f64 = 1.1;
 
@@ -327,14 +331,16 @@
     fn withdraw_what_is_not_ready(&mut self) -> bool {
         let ready = self.ready().next().is_some() && !self.proxies.is_empty();
         let bare = ready && !self.ready().any(|s| s.line > 0.0);
-        let found = self.first(|s| s.known && !s.ready() && !s.withdrawn && !bare);
+        let due = |s: &Server| s.known && !s.ready() && !s.withdrawn && !bare;
+        let found = self.first(|s| due(s) && self.may_write(1.0, self.written(s)));
         found.is_some_and(|s| self.shut_or_allow(s, true, 1.0))
     }
 
     fn allow_what_is_ready_again(&mut self) -> bool {
         // A cold one only once its line is low.
         let low = |s: &Server| !s.cold || s.line <= s.weight * self.able(s);
-        let found = self.first(|s| s.ready() && s.withdrawn && low(s));
+        let due = |s: &Server| s.ready() && s.withdrawn && low(s);
+        let found = self.first(|s| due(s) && self.may_write(USUAL, self.written(s)));
         found.is_some_and(|s| self.shut_or_allow(s, false, URGENT))
     }
 
@@ -448,7 +454,12 @@
         let ways: Vec<_> = self.told.cheapness.iter().map(share).collect();
         let parts = self.channel.parts.len();
         let price = |part| self.channel.price(Some(part), ways.len() as f64);
-        if ways == self.ways || parts == 0 || !self.fits(HALF, (0..parts).map(price).sum()) {
+        let room = self.fits(HALF, (0..parts).map(price).sum());
+        if ways == self.ways
+            || parts == 0
+            || !room
+            || !self.may_write(USUAL, self.channel.busiest(None))
+        {
             return false;
         }
         for (class, way) in ways.iter().enumerate() {
@@ -495,10 +506,17 @@
         let mut wrote = false;
         for (s, part, t) in lines {
             let low = t < self.servers[s].line * LOW;
-            let share = if low { URGENT } else { HALF };
+            let (share, messages) = if low {
+                (URGENT, PRESSING)
+            } else {
+                (HALF, USUAL)
+            };
             if !self.fits(share, self.channel.price(Some(part), 1.0)) {
                 break;
             }
+            if !self.may_write(messages, self.channel.busiest(Some(part))) {
+                continue;
+            }
             wrote = true;
             self.channel.add(Some(part), 1.0, 0.0);
             self.servers[s].write(t);
@@ -528,12 +546,24 @@
             let open = (0..loads.len()).filter(|part| loads[*part].1 > 0.0);
             open.min_by(|a, b| cost(p, *a, p.pace).total_cmp(&cost(p, *b, p.pace)))
         };
-        let uneven = |p: &Proxy, from: usize| {
-            let better = |to| cost(p, from, 0.0) > UNEVEN * cost(p, to, p.pace);
+        let uneven = |p: &Proxy, from: usize, times: f64| {
+            let better = |to| cost(p, from, 0.0) > times * cost(p, to, p.pace);
             loads[from].1 == 0.0 || p.pace > 0.0 && least(p).is_some_and(better)
         };
         let waiting = self.proxies.iter().find(|(_, p)| p.part.is_none());
-        let moves = |p: &Proxy| p.part.is_some_and(|from| uneven(p, from));
+        // One that was bound a moment ago is not moved on: what is uneven by then is of others.
+        let moves = |p: &Proxy| {
+            let (written, rests) = (
+                p.messages(now, self.channel.span_ms),
+                now - p.bound_at < TICK_MS,
+            );
+            let from = p.part.filter(|from| uneven(p, *from, UNEVEN));
+            from.is_some_and(|from| {
+                let presses = uneven(p, from, JAMMED);
+                let share = if presses { PRESSING } else { USUAL };
+                (presses || !rests) && self.may_write(share, written)
+            })
+        };
         let found = waiting.or_else(|| self.proxies.iter().find(|(_, p)| moves(p)));
         let Some((i, to)) = found.and_then(|(i, p)| Some((*i, least(p)?))) else {
             return false;
@@ -545,7 +575,7 @@
         self.channel.add(None, 0.0, price);
         self.out.binds.push((i, to));
         if let Some(proxy) = self.proxies.get_mut(&i) {
-            (proxy.part, proxy.sent) = (Some(to), price);
+            (proxy.part, proxy.sent, proxy.bound_at) = (Some(to), price, now);
         }
         true
     }
@@ -768,14 +798,22 @@
     }
 
     /// Pacing: all lines that no proxy has answered for may still wait in the channel, but for those
-    /// on their way, and each proxy is written only so many messages. What can wait leaves a share of
-    /// both free, and a reserve even if nothing is on its way.
+    /// on their way. What can wait leaves a share free, and a reserve even if nothing is on its way.
     fn fits(&self, share: f64, price: f64) -> bool {
-        let most = (self.told.most_messages - 1.0) * share.max(0.7);
         let lines = self.channel.waiting + self.channel.adds + price;
         let queued = lines - self.told.under_way.min(self.channel.waiting);
-        let room = queued.max(lines * share / share.max(URGENT)) <= self.told.most_waiting * share;
-        room && self.channel.busiest() < most
+        queued.max(lines * share / share.max(URGENT)) <= self.told.most_waiting * share
+    }
+
+    /// Messages that a server's line would add to.
+    fn written(&self, s: &Server) -> f64 {
+        s.part.map_or(0.0, |part| self.channel.busiest(Some(part)))
+    }
+
+    /// A proxy that was written so many messages lately may be written one more; a part's, where the
+    /// busiest of its proxies may. Others are not held up by it.
+    fn may_write(&self, share: f64, written: f64) -> bool {
+        written < (self.told.most_messages - 1.0) * share
     }
 
     /// What is believed of each server, by index: for the operators' log.
--- a/src/state.rs
+++ b/src/state.rs
@@ -197,7 +197,8 @@
     paces: Vec<f64>,
     /// The part of the table that it is bound to.
     pub part: Option<usize>,
-    /// Lines that this reply sends it for its binding.
+    /// When it was bound, and lines that this reply sends it for that.
+    pub bound_at: f64,
     pub sent: f64,
     /// Messages not yet answered, as number and lines.
     unanswered: VecDeque<(u64, f64)>,
@@ -325,9 +326,11 @@
         }
     }
 
-    pub fn busiest(&self) -> f64 {
-        let messages = self.parts.iter().map(|p| p.messages);
-        messages.fold(0.0, f64::max)
+    /// The most messages that any proxy of a part was written lately; of all parts where none is named.
+    pub fn busiest(&self, part: Option<usize>) -> f64 {
+        let parts = self.parts.iter().enumerate();
+        let named = parts.filter(|(i, _)| part.is_none_or(|p| p == *i));
+        named.map(|(_, p)| p.messages).fold(0.0, f64::max)
     }
 
     /// For each part, visits that come to its proxies, and weight of its lines; none across a cut.
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -785,3 +785,56 @@
         homely.notes
     );
 }
+
+#[test]
+fn a_part_that_was_written_much_holds_up_no_other_and_can_be_left_in_a_jam() {
+    let told = but(|o| (o.most_messages, o.most_waiting) = (14.0, 1e6));
+    let (mut planner, parts, orders) = large(120, 60, &told);
+    let mut bound: BTreeMap<usize, usize> = orders.binds.iter().copied().collect();
+    let of = |part: usize| (0..120).filter(move |s| s % 2 == part % 2);
+    let mine: Vec<usize> = of(0).filter(|s| parts[*s] == parts[0]).collect();
+    let mut mark = orders.mark;
+    let mut step = |planner: &mut Planner, now: f64, roster: &[Listed]| {
+        (0..60).for_each(|p| planner.orders_applied(p, mark.unwrap_or(0)));
+        planner.roster_changed(now, Extent::Changes, roster);
+        let orders = planner.decide(now);
+        mark = orders.mark.or(mark);
+        orders
+    };
+    // One server of a part comes and goes: the part's proxies are written what can wait, and no more.
+    let mut written = 0;
+    for round in 0..30 {
+        let standing = [Standing::Gone, Standing::Ready][round % 2];
+        let now = 100.0 * (1 + round) as f64;
+        let orders = step(&mut planner, now, &[listed(mine[0], standing, Some(now))]);
+        written += usize::from(!orders.withdrawals.is_empty() || !orders.lines.is_empty());
+        bound.extend(orders.binds);
+    }
+    assert!((7..=13).contains(&written), "{written}");
+    // A server of another part restarts: its line falls at once.
+    let other = (0..120).find(|s| parts[*s] != parts[0]).unwrap();
+    let orders = step(
+        &mut planner,
+        3100.0,
+        &[listed(other, Standing::Ready, Some(3100.0))],
+    );
+    assert!(
+        orders.lines.iter().any(|l| l.1 == other && l.2 < 0.5),
+        "{:?}",
+        orders.lines
+    );
+    bound.extend(orders.binds);
+    // Most of the part drains: its proxies leave it, though they were written much.
+    let drains: Vec<Listed> = mine[1..]
+        .iter()
+        .map(|s| listed(*s, Standing::Draining, None))
+        .collect();
+    let before = bound.values().filter(|part| **part == parts[0]).count();
+    let orders = step(&mut planner, 3200.0, &drains);
+    assert_eq!(orders.withdrawals.len(), drains.len());
+    bound.extend(orders.binds);
+    let orders = step(&mut planner, 3400.0, &[]);
+    bound.extend(orders.binds);
+    let left = bound.values().filter(|part| **part == parts[0]).count();
+    assert!(before > 1 && left <= 1, "{before} {left}");
+}
