--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,3 +16,4 @@
 mod watch;
 
 pub use life::run;
+pub use shutdown::Shutdown;
