Connections by their standard names; an interruption that came before ends no drain

door.rs becomes connections.rs: connection, accepted, evict_oldest, serve, close_gracefully, KEEP_ALIVE, RESERVED in the place of guest, let_in, make_room, attend, see_off, KEPT, KEPT_BACK. Read on the way: a connection that was interrupted while it was being served took the mark of that into its last reads, which then ended at once and left bytes unread. It looks at the time now.

--- a/crates/node/src/door.rs
+++ b/crates/node/src/connections.rs
@@ -3,7 +3,7 @@
 //! The rules, in their order:
 //! 1. `probe` is answered `alive` at once, whoever asks and whatever else goes on.
 //! 2. Who has not joined and has asked nothing is closed [`JOIN_WITHIN`] after connecting; who has
-//!    asked for a sign of life, [`KEPT`] after the last time. What has come by then is answered.
+//!    asked for a sign of life, [`KEEP_ALIVE`] after the last time. What has come by then is answered.
 //! 3. Who sends what cannot be read, reports before joining, or a line without end is told `error`
 //!    and closed; a collector is only closed (nothing is ever written to it).
 //! 4. A spoilt line of a collector is left out and counted; its neighbours count.
@@ -12,8 +12,8 @@
 //! 6. A zone holds at most [`MOST_OF_A_ZONE`] collectors: the one that was silent longest goes. So one
 //!    whose stream went silent keeps nobody out, and a stranger takes no good one's place at once.
 //! 7. Who was answered reads the answer, and then the end: our side is closed first, and what still comes
-//!    is read for a while ([`TAKEN_WITHIN`], [`LEAST_UNREAD`]). A close with bytes unread would be a
-//!    reset, which takes the answer with it. At most [`LEAVING`] at a time; others are closed at once.
+//!    is read for a while ([`TAKEN_WITHIN`], [`DISCARDED`]). A close with bytes unread would be a
+//!    reset, which takes the answer with it. At most [`MOST_CLOSING`] at a time; others are closed at once.
 
 use crate::reach::Shared;
 use dahliapoint_fibers::{Socket, TcpListener, accept, give_way, sleep, spawn};
@@ -29,7 +29,7 @@
 
 /// PROTOCOL (DAYS, "Bad clients") lets one that has not joined within 1 s be closed.
 const JOIN_WITHIN: Duration = Duration::from_secs(1);
-const KEPT: Duration = Duration::from_secs(10);
+const KEEP_ALIVE: Duration = Duration::from_secs(10);
 /// A collector that has said nothing for so long has gone; they report each second.
 const SILENT: Duration = Duration::from_secs(60);
 const MOST_OF_A_ZONE: usize = 4;
@@ -39,32 +39,32 @@
 const TAKEN_WITHIN: Duration = Duration::from_millis(500);
 /// What is kept of the limit on descriptors for relay, discovery, probes, the runtime and those whose
 /// end is under way; and how many of the last may be.
-const KEPT_BACK: usize = 72;
-const LEAVING: usize = 24;
-/// What is read at least of what comes behind an answer that ends a connection, in bytes.
-const LEAST_UNREAD: usize = 64 * 1024;
+const RESERVED: usize = 72;
+const MOST_CLOSING: usize = 24;
+/// What is read at the most of what comes behind an answer that ends a connection, in bytes.
+const DISCARDED: usize = 64 * 1024;
 
-struct Guest {
+struct Connection {
     socket: Socket,
     zone: Option<usize>,
     heard: Instant,
 }
 
-pub struct Door {
+pub struct Connections {
     reach: Shared,
     /// By number, so that the oldest is the first.
-    guests: Mutex<BTreeMap<u64, Guest>>,
+    open: Mutex<BTreeMap<u64, Connection>>,
     most: usize,
-    leaving: AtomicUsize,
+    closing: AtomicUsize,
 }
 
-/// Lets people in for good.
-pub fn open(reach: Shared, listener: TcpListener, sockets: usize) {
-    let door = Arc::new(Door {
+/// Accepts connections for good.
+pub fn listen(reach: Shared, listener: TcpListener, sockets: usize) {
+    let connections = Arc::new(Connections {
         reach,
-        guests: Mutex::new(BTreeMap::new()),
-        most: sockets.saturating_sub(KEPT_BACK).max(16),
-        leaving: AtomicUsize::new(0),
+        open: Mutex::new(BTreeMap::new()),
+        most: sockets.saturating_sub(RESERVED).max(16),
+        closing: AtomicUsize::new(0),
     });
     spawn(move || {
         let mut number = 0;
@@ -72,14 +72,17 @@
             match accept(&listener) {
                 Ok((socket, _)) => {
                     number += 1;
-                    door.let_in(number, socket);
+                    connections.accepted(number, socket);
                     // Those who are to go do so before the next one comes.
                     give_way();
                 }
                 Err(e) => {
                     // Out of descriptors, most likely: room is made, and others get their turn.
-                    door.reach.teller.fault("accepting", || e.to_string());
-                    door.make_room();
+                    connections
+                        .reach
+                        .teller
+                        .fault("accepting", || e.to_string());
+                    connections.evict_oldest();
                     sleep(Duration::from_millis(20));
                 }
             }
@@ -92,106 +95,109 @@
     String::from_utf8_lossy(&line[..line.len().min(120)]).into_owned()
 }
 
-impl Door {
-    fn guests(&self) -> MutexGuard<'_, BTreeMap<u64, Guest>> {
-        self.guests.lock().unwrap_or_else(PoisonError::into_inner)
+impl Connections {
+    fn open(&self) -> MutexGuard<'_, BTreeMap<u64, Connection>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Rule 5.
-    fn make_room(&self) {
-        let mut guests = self.guests();
-        let oldest = guests.iter().find(|(_, g)| g.zone.is_none());
+    fn evict_oldest(&self) {
+        let mut open = self.open();
+        let oldest = open.iter().find(|(_, c)| c.zone.is_none());
         if let Some(number) = oldest.map(|(n, _)| *n)
-            && let Some(guest) = guests.remove(&number)
+            && let Some(connection) = open.remove(&number)
         {
-            guest.socket.interrupt();
-            drop(guests);
+            connection.socket.interrupt();
+            drop(open);
             self.reach.teller.fault("connections", || {
                 "the budget is full: the oldest stranger goes".into()
             });
         }
     }
 
-    fn let_in(self: &Arc<Self>, number: u64, socket: Socket) {
-        if self.guests().len() >= self.most {
-            self.make_room();
+    fn accepted(self: &Arc<Self>, number: u64, socket: Socket) {
+        if self.open().len() >= self.most {
+            self.evict_oldest();
         }
-        let guest = Guest {
+        let connection = Connection {
             socket: socket.clone(),
             zone: None,
             heard: Instant::now(),
         };
-        self.guests().insert(number, guest);
-        let door = self.clone();
+        self.open().insert(number, connection);
+        let connections = self.clone();
         spawn(move || {
-            let answered = door.attend(number, &socket);
-            door.guests().remove(&number);
+            let answered = connections.serve(number, &socket);
+            connections.open().remove(&number);
             if answered {
-                door.see_off(&socket);
+                connections.close_gracefully(&socket);
             }
             // The other handle may be held a moment longer.
             socket.shut();
         });
     }
 
-    fn stays(&self, number: u64) -> bool {
-        self.guests().contains_key(&number)
+    fn is_open(&self, number: u64) -> bool {
+        self.open().contains_key(&number)
     }
 
     /// Rule 7.
-    fn see_off(&self, socket: &Socket) {
-        if self.leaving.fetch_add(1, Ordering::AcqRel) < LEAVING {
+    fn close_gracefully(&self, socket: &Socket) {
+        if self.closing.fetch_add(1, Ordering::AcqRel) < MOST_CLOSING {
             socket.end_writing();
             let until = Instant::now() + TAKEN_WITHIN;
             let (mut buffer, mut unread) = ([0; 4096], 0);
-            while unread < LEAST_UNREAD
-                && let Ok(n @ 1..) = socket.read(&mut buffer, Some(until))
-            {
-                unread += n;
+            while unread < DISCARDED {
+                match socket.read(&mut buffer, Some(until)) {
+                    Ok(n @ 1..) => unread += n,
+                    // An interruption that came before ends no wait here.
+                    Err(e) if e.kind() == ErrorKind::TimedOut && Instant::now() < until => {}
+                    Ok(_) | Err(_) => break,
+                }
             }
         }
-        self.leaving.fetch_sub(1, Ordering::AcqRel);
+        self.closing.fetch_sub(1, Ordering::AcqRel);
     }
 
     /// Rule 6; also for one that was to go.
     fn joins(&self, number: u64, zone: usize, socket: &Socket) {
-        let mut guests = self.guests();
-        let there = guests
+        let mut open = self.open();
+        let there = open
             .iter()
-            .filter(|(n, g)| g.zone == Some(zone) && **n != number);
+            .filter(|(n, c)| c.zone == Some(zone) && **n != number);
         if there.clone().count() >= MOST_OF_A_ZONE {
-            let silent = there.min_by_key(|(_, g)| g.heard).map(|(n, _)| *n);
-            if let Some(gone) = silent.and_then(|n| guests.remove(&n)) {
+            let silent = there.min_by_key(|(_, c)| c.heard).map(|(n, _)| *n);
+            if let Some(gone) = silent.and_then(|n| open.remove(&n)) {
                 gone.socket.interrupt();
             }
         }
-        let guest = Guest {
+        let connection = Connection {
             socket: socket.clone(),
             zone: Some(zone),
             heard: Instant::now(),
         };
-        guests.insert(number, guest);
+        open.insert(number, connection);
     }
 
     fn heard(&self, number: u64) {
-        if let Some(guest) = self.guests().get_mut(&number) {
-            guest.heard = Instant::now();
+        if let Some(connection) = self.open().get_mut(&number) {
+            connection.heard = Instant::now();
         }
     }
 
     /// Until it is over; tells whether anything was answered.
-    fn attend(&self, number: u64, socket: &Socket) -> bool {
+    fn serve(&self, number: u64, socket: &Socket) -> bool {
         let mut lines = Lines::of(MOST_BEFORE_JOINING);
         let (mut zone, mut answered) = (None, false);
         let mut until = Instant::now() + JOIN_WITHIN;
         let mut buffer = [0; 4096];
         loop {
             // Who is to go is read once more, without a wait.
-            let stays = self.stays(number);
-            let end = if stays { until } else { Instant::now() };
+            let is_open = self.is_open(number);
+            let end = if is_open { until } else { Instant::now() };
             let n = match socket.read(&mut buffer, Some(end)) {
                 Ok(n @ 1..) => n,
-                Err(e) if e.kind() == ErrorKind::TimedOut && stays && Instant::now() < until => {
+                Err(e) if e.kind() == ErrorKind::TimedOut && is_open && Instant::now() < until => {
                     continue;
                 }
                 Ok(_) | Err(_) => return answered,
@@ -211,7 +217,7 @@
                         }
                         answered = true;
                         if zone.is_none() {
-                            until = Instant::now() + KEPT;
+                            until = Instant::now() + KEEP_ALIVE;
                         }
                     }
                     Ok(Said::Agent { zone: named }) => {
@@ -247,7 +253,7 @@
                 self.heard(number);
             }
             self.reach.put(inputs);
-            if !stays && !self.stays(number) {
+            if !is_open && !self.is_open(number) {
                 return answered;
             }
             give_way();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,7 +5,7 @@
 
 mod beside;
 mod configuration;
-mod door;
+mod connections;
 mod life;
 mod owner;
 mod probes;
--- a/crates/node/src/life.rs
+++ b/crates/node/src/life.rs
@@ -3,7 +3,7 @@
 use crate::configuration::{self, Assignment};
 use crate::owner::Owner;
 use crate::reach::{Reach, Shared};
-use crate::{door, probes, relay, watch};
+use crate::{connections, probes, relay, watch};
 use dahliapoint_fibers::Bell;
 use dahliapoint_platform::core::Core;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -74,7 +74,7 @@
         proxies = deployment.proxies, sockets, "serving"
     );
     let core = Core::begun(reach.clock.now_ms(), seed, deployment, &known);
-    door::open(reach.clone(), listener, sockets);
+    connections::listen(reach.clone(), listener, sockets);
     relay::follow(&reach);
     watch::begin(&reach);
     let owner = Owner {
