--- a/src/rules.rs
+++ b/src/rules.rs
@@ -551,17 +551,16 @@
             loads[from].1 == 0.0 || p.pace > 0.0 && least(p).is_some_and(better)
         };
         let waiting = self.proxies.iter().find(|(_, p)| p.part.is_none());
-        // One that was bound a moment ago is not moved on: what is uneven by then is of others.
+        // Its own messages count; what presses may use more of them.
         let moves = |p: &Proxy| {
-            let (written, rests) = (
-                p.messages(now, self.channel.span_ms),
-                now - p.bound_at < TICK_MS,
-            );
             let from = p.part.filter(|from| uneven(p, *from, UNEVEN));
             from.is_some_and(|from| {
-                let presses = uneven(p, from, JAMMED);
-                let share = if presses { PRESSING } else { USUAL };
-                (presses || !rests) && self.may_write(share, written)
+                let share = if uneven(p, from, JAMMED) {
+                    PRESSING
+                } else {
+                    USUAL
+                };
+                self.may_write(share, p.messages(now, self.channel.span_ms))
             })
         };
         let found = waiting.or_else(|| self.proxies.iter().find(|(_, p)| moves(p)));
@@ -575,7 +574,7 @@
         self.channel.add(None, 0.0, price);
         self.out.binds.push((i, to));
         if let Some(proxy) = self.proxies.get_mut(&i) {
-            (proxy.part, proxy.sent, proxy.bound_at) = (Some(to), price, now);
+            (proxy.part, proxy.sent) = (Some(to), price);
         }
         true
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -197,8 +197,7 @@
     paces: Vec<f64>,
     /// The part of the table that it is bound to.
     pub part: Option<usize>,
-    /// When it was bound, and lines that this reply sends it for that.
-    pub bound_at: f64,
+    /// Lines that this reply sends it for its binding.
     pub sent: f64,
     /// Messages not yet answered, as number and lines.
     unanswered: VecDeque<(u64, f64)>,
