--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -1,6 +1,6 @@
 //! The cases: the platform of each, its events, and the check of its rule.
 
-use crate::world::{Platform, Site, World, lock, unix_ms};
+use crate::world::{Busy, Platform, Site, World, lock, unix_ms};
 use crate::{Controller, Verdict};
 use std::time::Duration;
 
@@ -33,6 +33,11 @@
             events: lose_answers,
             judge: judge_messages,
         },
+        "join" => Case {
+            platform: busy_site,
+            events: replace_six_of_ten,
+            judge: judge_cold,
+        },
         "fuzz" => Case {
             platform: crate::fuzz::platform,
             events: crate::fuzz::events,
@@ -55,6 +60,7 @@
         rate: 2.5,
         local_first: true,
         probing: true,
+        busy: None,
         messages_most: 0,
         soft_removal: false,
         most_waiting: 8000,
@@ -312,3 +318,138 @@
         text,
     }
 }
+
+/// Ten servers, alike, at 55% of what they can do, and 20 proxies that choose of two.
+fn busy_site() -> Platform {
+    let (rate, proxies) = (5.0, 20);
+    let busy = Busy {
+        capacity: rate * proxies as f64 / 10.0 / 0.55,
+        cold_from: 0.17,
+        service_ms: 150,
+        queue: 16.0,
+        strikes: 5,
+        keep_away_ms: 4000,
+        patience_ms: 800,
+        backoff_ms: 200,
+        report_ms: 2000,
+        report_late_ms: 1000,
+    };
+    let site = Site {
+        zones: vec!["a"],
+        proxies,
+        rate,
+        ramp_ms: 15000,
+        push_ms: 200,
+        probing: false,
+        local_first: false,
+        busy: Some(busy),
+        ..site()
+    };
+    let names: Vec<String> = (1..=16).map(|i| format!("s-{i:02}")).collect();
+    let servers: Vec<(&str, usize, bool)> = names
+        .iter()
+        .enumerate()
+        .map(|(i, n)| (n.as_str(), 0, i < 10))
+        .collect();
+    Platform::start(site, &vec![0; proxies], &servers)
+}
+
+/// Six of ten servers are replaced within 5.1 s, three at a time: they drain, and 1.7 s later the new ones are
+/// listed, which started cold 0.5 s before.
+fn replace_six_of_ten(world: &World, _: &mut Controller, trouble: bool) {
+    wait(20.0);
+    let name = |i: usize| format!("s-{i:02}");
+    for batch in [1..=3, 4..=6] {
+        if trouble {
+            let leaving: Vec<String> = batch.clone().map(name).collect();
+            let leaving: Vec<(&str, &'static str)> =
+                leaving.iter().map(|n| (n.as_str(), "draining")).collect();
+            lock(world).list(&leaving);
+        }
+        wait(1.2);
+        let coming: Vec<String> = batch.map(|i| name(i + 10)).collect();
+        if trouble {
+            coming.iter().for_each(|n| set_running(world, n, true));
+        }
+        wait(0.5);
+        if trouble {
+            let coming: Vec<(&str, &'static str)> =
+                coming.iter().map(|n| (n.as_str(), "up")).collect();
+            lock(world).list(&coming);
+        }
+        wait(1.7);
+    }
+    wait(14.0);
+}
+
+/// Rule 4: no cold server is sent more than the multiple of what it can do over the stated time.
+fn judge_cold(world: &World) -> Verdict {
+    const MULTIPLE: f64 = 3.0;
+    const SPAN: Duration = Duration::from_millis(1800);
+    let state = lock(world);
+    let Some(busy) = state.site.busy.clone() else {
+        return Verdict {
+            held: false,
+            text: "no such site".into(),
+        };
+    };
+    let (now, now_ms) = (std::time::Instant::now(), unix_ms());
+    let mut worst: Vec<(f64, String)> = Vec::new();
+    for (name, server) in state.servers.iter().filter(|(_, s)| s.since_ms > 0) {
+        let started = now - Duration::from_millis(now_ms - server.since_ms);
+        let times: Vec<_> = state
+            .visits
+            .iter()
+            .filter(|v| v.server == *name)
+            .map(|v| v.at)
+            .collect();
+        let mut most = (0.0, String::new());
+        for from in &times {
+            let count = times
+                .iter()
+                .filter(|at| **at >= *from && **at < *from + SPAN)
+                .count() as f64;
+            let middle = (*from + SPAN / 2 - started).as_secs_f64() * 1000.0;
+            if middle > state.site.ramp_ms as f64 {
+                continue;
+            }
+            let can_do = busy.capacity_at(middle, state.site.ramp_ms as f64) * SPAN.as_secs_f64();
+            // A little slack for chance: two standard deviations of the count that is allowed.
+            let over = (count - 2.0 * (MULTIPLE * can_do).sqrt()) / can_do;
+            if over > most.0 {
+                let at = (*from - state.started).as_secs_f64();
+                most = (
+                    over,
+                    format!(
+                        "{name} at {at:.1} s, {:.1} s after its start: {count} visits in 1.8 s, {:.1} times what it can do",
+                        (*from - started).as_secs_f64(),
+                        count / can_do
+                    ),
+                );
+            }
+        }
+        worst.push(most);
+    }
+    worst.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let over: Vec<_> = worst
+        .iter()
+        .filter(|(times, _)| *times > MULTIPLE)
+        .collect();
+    let text = format!(
+        "{} cold servers were sent over {MULTIPLE} times what they could do (and slack) for 1.8 s; highest: {}; visits answered {} unanswered {} refused {}",
+        over.len(),
+        worst
+            .iter()
+            .take(3)
+            .map(|(_, t)| t.clone())
+            .collect::<Vec<_>>()
+            .join("; "),
+        state.fulfilled,
+        state.unfulfilled,
+        state.refused
+    );
+    Verdict {
+        held: over.is_empty(),
+        text,
+    }
+}
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -28,6 +28,9 @@
     pub local_first: bool,
     /// `limits.probing`.
     pub probing: bool,
+    /// Servers that take time for a visit, and proxies that choose of two (`p2c`) and keep away from a
+    /// server after some failures (`strikes`).
+    pub busy: Option<Busy>,
     /// `rules.softRemoval`.
     pub soft_removal: bool,
     /// `specifics.messagesMost`, in 10 s; 0: no limit.
@@ -37,6 +40,36 @@
     pub egress_per_s: u64,
 }
 
+/// What servers can do, and how proxies choose among them.
+#[derive(Clone)]
+pub struct Busy {
+    /// Visits a second that a warm server can do.
+    pub capacity: f64,
+    /// Share of it that a server has at its start; it grows evenly to all of it within the ramp time.
+    pub cold_from: f64,
+    /// How long a visit takes at a server without a queue.
+    pub service_ms: u64,
+    /// A server whose queue is longer than so many visits turns further ones away before they run.
+    pub queue: f64,
+    /// `specifics.strikes`, and for how long a proxy then keeps away.
+    pub strikes: u32,
+    pub keep_away_ms: u64,
+    /// When a client gives up a try, and how long it waits before its one repeat.
+    pub patience_ms: u64,
+    pub backoff_ms: u64,
+    /// How often reports are gathered, and how late they come.
+    pub report_ms: u64,
+    pub report_late_ms: u64,
+}
+
+impl Busy {
+    /// What a server can do at an age, in visits a second.
+    pub fn capacity_at(&self, age_ms: f64, ramp_ms: f64) -> f64 {
+        let warm = (age_ms / ramp_ms).clamp(0.0, 1.0);
+        self.capacity * (self.cold_from + (1.0 - self.cold_from) * warm)
+    }
+}
+
 impl Site {
     /// The settings object of DEPLOY and WIRE.
     pub fn settings(&self) -> String {
@@ -44,12 +77,12 @@
         format!(
             r#"{{"balancers":2,"family":"control",
 "goal":{{"whole":0.5,"worstWindow":0.2,"worstClass":0.3,"worstTenant":0.0}},"kinds":["m"],
-"lanes":[{{"aimNs":800000000,"credit":1.0,"deadlineNs":2500000000,"dedupScope":"all","effect":"pure","keyTtlNs":5000000000,"lateWorth":0.2,"name":"lookup"}}],
+"lanes":[{{"aimNs":800000000,"credit":1.0,"deadlineNs":2000000000,"dedupScope":"all","effect":"pure","keyTtlNs":5000000000,"lateWorth":0.2,"name":"lookup"}}],
 "limits":{{"connIdleNs":15000000000,"cpuUsPerS":250000,"dialTimeoutNs":250000000,"mayTell":false,"probing":{probing},"streamsPerConn":100}},
 "prices":{{"connection":0.02,"crossZone":0.06,"handshake":0.04,"lateFail":0.05,"moves":0.0,"peer":0.0,"probe":0.02,"registryMode":0.0,"waste":0.05}},
 "rank":0,"registryMode":"push","report":{{"fields":[],"how":"none"}},
-"rules":{{"askWithinNs":10000000000,"coldFrom":0.19,"fallMultiple":3.0,"fallNs":1500000000,"rampTimeNs":{ramp}000000,"softRemoval":{soft},"stopSendingWithinNs":{grace}000000}},
-"specifics":{{"admit":"none","bareNs":{bare}000000,"baseMode":1,"choice":"rotate","costPerLine":0.04,"egressPerS":{egress}.0,"holdNs":300000000,"ingestRate":800.0,"lateMostNs":1000000000,"localFirst":{local},"messagesMost":{messages},"minConnCap":94.0,"mostWaiting":{waiting}.0,"overhead":4.0,"proxies":{proxies},"pushDelayNs":{push}000000,"reassignPrice":0.0,"reloadSpanNs":10000000000,"reportEveryNs":1000000000,"shards":0,"soleOwner":false,"standing":{standing},"staysLocal":[false],"strikes":0,"tryAims":0.8,"warmKeys":false,"writeLeaseNs":2500000000,"writeLifeNs":20000000,"writers":[false]}},
+"rules":{{"askWithinNs":10000000000,"coldFrom":{cold},"fallMultiple":3.0,"fallNs":1500000000,"rampTimeNs":{ramp}000000,"softRemoval":{soft},"stopSendingWithinNs":{grace}000000}},
+"specifics":{{"admit":"none","bareNs":{bare}000000,"baseMode":1,"choice":"{choice}","costPerLine":0.04,"egressPerS":{egress}.0,"holdNs":300000000,"ingestRate":800.0,"lateMostNs":1000000000,"localFirst":{local},"messagesMost":{messages},"minConnCap":94.0,"mostWaiting":{waiting}.0,"overhead":4.0,"proxies":{proxies},"pushDelayNs":{push}000000,"reassignPrice":0.0,"reloadSpanNs":10000000000,"reportEveryNs":{report}000000,"shards":0,"soleOwner":false,"standing":{standing},"staysLocal":[false],"strikes":{strikes},"tryAims":0.8,"warmKeys":false,"writeLeaseNs":2500000000,"writeLifeNs":20000000,"writers":[false]}},
 "tickNs":2000000,"valueBy":"request","weightSource":"none","zone":0,"zones":[{zones}]}}"#,
             ramp = self.ramp_ms,
             grace = self.grace_ms,
@@ -63,6 +96,10 @@
             probing = self.probing,
             messages = self.messages_most,
             soft = self.soft_removal,
+            cold = self.busy.as_ref().map_or(0.19, |b| b.cold_from),
+            choice = if self.busy.is_some() { "p2c" } else { "rotate" },
+            strikes = self.busy.as_ref().map_or(0, |b| b.strikes),
+            report = self.busy.as_ref().map_or(1000, |b| b.report_ms),
             zones = zones.join(","),
         )
     }
@@ -79,6 +116,8 @@
     pub told_at: Option<Instant>,
     /// Whether its process runs.
     pub runs: bool,
+    /// When it has done all that it has accepted.
+    free_at: Option<Instant>,
     /// Version of the list with its last change.
     version: u64,
 }
@@ -114,6 +153,9 @@
     pub lines: BTreeMap<String, f64>,
     pub masked: BTreeSet<String>,
     turn: BTreeMap<String, f64>,
+    out: BTreeMap<String, u32>,
+    failures: BTreeMap<String, u32>,
+    away_until: BTreeMap<String, Instant>,
     bare_since: Option<Instant>,
     /// The longest time without a line to pick while the rule asks for one.
     pub longest_bare: Duration,
@@ -148,6 +190,52 @@
     }
 }
 
+impl Proxy {
+    /// Draws two lines by weight and takes the one with fewer of its own visits out (`p2c`), among the
+    /// servers that it does not keep away from.
+    fn pick_of_two(&self, rng: &mut u64, but: Option<&str>) -> Option<String> {
+        let now = Instant::now();
+        let open: Vec<(&String, f64)> = self
+            .pickable()
+            .filter(|(n, _)| but != Some(n.as_str()))
+            .collect();
+        let near = |n: &String| self.away_until.get(n).is_none_or(|at| *at <= now);
+        let some_near = open.iter().any(|(n, _)| near(n));
+        let open: Vec<_> = open
+            .into_iter()
+            .filter(|(n, _)| near(n) || !some_near)
+            .collect();
+        let total: f64 = open.iter().map(|(_, w)| w).sum();
+        let mut draw = || {
+            *rng ^= *rng << 13;
+            *rng ^= *rng >> 7;
+            *rng ^= *rng << 17;
+            let mut at = (*rng >> 11) as f64 / (1_u64 << 53) as f64 * total;
+            let found = open.iter().find(|(_, w)| {
+                at -= w;
+                at < 0.0
+            });
+            found.or(open.last()).map(|(n, _)| (*n).clone())
+        };
+        let (a, b) = (draw()?, draw()?);
+        let out = |n: &String| self.out.get(n).copied().unwrap_or(0);
+        Some(if out(&b) < out(&a) { b } else { a })
+    }
+
+    fn try_ended(&mut self, name: &str, good: bool, busy: &Busy) {
+        if let Some(out) = self.out.get_mut(name) {
+            *out -= 1;
+        }
+        let failures = self.failures.entry(name.into()).or_default();
+        *failures = if good { 0 } else { *failures + 1 };
+        if *failures >= busy.strikes {
+            *failures = 0;
+            let until = Instant::now() + Duration::from_millis(busy.keep_away_ms);
+            self.away_until.insert(name.into(), until);
+        }
+    }
+}
+
 /// A visit that a proxy sent on, as the record keeps it.
 pub struct Visit {
     pub at: Instant,
@@ -181,6 +269,8 @@
     demand: BTreeMap<usize, u64>,
     pub visits: Vec<Visit>,
     pub refused: u64,
+    pub fulfilled: u64,
+    pub unfulfilled: u64,
     pub record: Vec<String>,
     pub ready_at: Option<Instant>,
     pub ended: bool,
@@ -764,8 +854,13 @@
             "503 Service Unavailable"
         }
     } else {
-        std::thread::sleep(Duration::from_millis(5));
-        "200 OK"
+        match accept_visit(world, name) {
+            Some(wait) => {
+                std::thread::sleep(wait);
+                "200 OK"
+            }
+            None => "503 Service Unavailable",
+        }
     };
     let _ = write!(
         socket,
@@ -773,6 +868,26 @@
     );
 }
 
+/// Takes a visit into a server's queue; returns when it will be done, or none if the queue is full.
+fn accept_visit(world: &World, name: &str) -> Option<Duration> {
+    let mut state = lock(world);
+    let Some(busy) = state.site.busy.clone() else {
+        return Some(Duration::from_millis(5));
+    };
+    let ramp_ms = state.site.ramp_ms as f64;
+    let server = state.servers.get_mut(name)?;
+    let now = Instant::now();
+    let age_ms = unix_ms() as f64 - server.since_ms as f64;
+    let rate = busy.capacity_at(age_ms, ramp_ms);
+    let from = server.free_at.map_or(now, |at| at.max(now));
+    if (from - now).as_secs_f64() * rate > busy.queue {
+        return None;
+    }
+    let done = from + Duration::from_secs_f64(1.0 / rate);
+    server.free_at = Some(done);
+    Some(done - now + Duration::from_millis(busy.service_ms))
+}
+
 /// Sends one visit to a server; whether it was answered well.
 fn send_visit(address: SocketAddr) -> bool {
     let Ok(mut socket) = TcpStream::connect_timeout(&address, Duration::from_millis(250)) else {
@@ -786,7 +901,108 @@
         && answer.starts_with(b"HTTP/1.1 200")
 }
 
+/// Sends a visit to a server with a client's patience: whether it was answered well, and whether it was
+/// turned away, which proves that it never ran.
+fn send_busy_visit(address: SocketAddr, patience: Duration) -> (bool, bool) {
+    let end = Instant::now() + patience;
+    let Ok(mut socket) = TcpStream::connect_timeout(&address, Duration::from_millis(250)) else {
+        return (false, true);
+    };
+    let left = end
+        .saturating_duration_since(Instant::now())
+        .max(Duration::from_millis(1));
+    let _ = socket.set_read_timeout(Some(left));
+    let request = format!("GET /lookup HTTP/1.1\r\nHost: {address}\r\n\r\n");
+    let mut answer = Vec::new();
+    let answered =
+        socket.write_all(request.as_bytes()).is_ok() && socket.read_to_end(&mut answer).is_ok();
+    let good = answered && answer.starts_with(b"HTTP/1.1 200");
+    (good, answered && answer.starts_with(b"HTTP/1.1 503"))
+}
+
+/// One visit of a client at a proxy: a try, another one at another server if the first was turned away
+/// (way 1), and one repeat by the client.
+fn busy_visit(world: &World, proxy: usize, busy: &Busy, mut rng: u64) {
+    for repeat in 0..2 {
+        let (mut but, mut good) = (None, false);
+        *lock(world).demand.entry(proxy).or_default() += 1;
+        for _ in 0..2 {
+            let mut state = lock(world);
+            let Some(name) = state.proxies[proxy].pick_of_two(&mut rng, but.as_deref()) else {
+                state.refused += 1;
+                break;
+            };
+            *state.proxies[proxy].out.entry(name.clone()).or_default() += 1;
+            let (zone, at) = (state.proxies[proxy].zone, Instant::now());
+            let address = state.servers[&name].address;
+            state.visits.push(Visit {
+                at,
+                proxy,
+                server: name.clone(),
+                past_told: None,
+            });
+            drop(state);
+            let (answered, turned_away) =
+                send_busy_visit(address, Duration::from_millis(busy.patience_ms));
+            good = answered;
+            let mut state = lock(world);
+            state.proxies[proxy].try_ended(&name, answered, busy);
+            let word = if answered {
+                "answered"
+            } else if turned_away {
+                "turned away"
+            } else {
+                "no answer in time"
+            };
+            state.note(format!(
+                "visit at proxy {proxy} (repeat {repeat}): sent to {name}, {word}"
+            ));
+            let tries = state.tries.entry((zone, name.clone())).or_default();
+            tries.tries += 1;
+            tries.failed += u64::from(!answered);
+            tries.sum_ms += if answered {
+                at.elapsed().as_secs_f64() * 1000.0
+            } else {
+                0.0
+            };
+            if answered || !turned_away {
+                break;
+            }
+            but = Some(name);
+        }
+        if good {
+            lock(world).fulfilled += 1;
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(busy.backoff_ms));
+    }
+    lock(world).unfulfilled += 1;
+}
+
+fn run_busy_proxy(world: &World, proxy: usize, busy: &Busy) {
+    let pause = Duration::from_secs_f64(1.0 / lock(world).proxies[proxy].rate);
+    let mut rng = 0x9E37_79B9_7F4A_7C15_u64.wrapping_mul(proxy as u64 * 2 + 1) | 1;
+    let mut next = Instant::now() + pause.mul_f64(proxy as f64 * 0.37 % 1.0);
+    loop {
+        std::thread::sleep(next.saturating_duration_since(Instant::now()));
+        rng = rng
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        // Visits come by chance: gaps from 0 to twice the mean.
+        next += pause.mul_f64(2.0 * (rng >> 11) as f64 / (1_u64 << 53) as f64);
+        if lock(world).ended {
+            return;
+        }
+        let (world, busy, draw) = (world.clone(), busy.clone(), rng | 1);
+        std::thread::spawn(move || busy_visit(&world, proxy, &busy, draw));
+    }
+}
+
 fn run_proxy(world: &World, proxy: usize) {
+    let busy = lock(world).site.busy.clone();
+    if let Some(busy) = busy {
+        return run_busy_proxy(world, proxy, &busy);
+    }
     let pause = Duration::from_secs_f64(1.0 / lock(world).proxies[proxy].rate);
     std::thread::sleep(pause.mul_f64(proxy as f64 * 0.37 % 1.0));
     loop {
@@ -849,8 +1065,10 @@
 fn run_collector(world: &World, zone: usize, controller: SocketAddr) {
     let name = lock(world).site.zones[zone];
     let mut socket: Option<TcpStream> = None;
+    let busy = lock(world).site.busy.clone();
+    let (every_ms, late_ms) = busy.map_or((1000, 0), |b| (b.report_ms, b.report_late_ms));
     loop {
-        std::thread::sleep(Duration::from_secs(1));
+        std::thread::sleep(Duration::from_millis(every_ms - late_ms));
         let mut state = lock(world);
         if state.ended {
             return;
@@ -864,7 +1082,7 @@
                 0.0
             };
             text.push_str(&format!(
-                "outcomes zone={name} server={server} tries={} failed={} mean_ms={mean:.3} span_ms=1000.0\r\n",
+                "outcomes zone={name} server={server} tries={} failed={} mean_ms={mean:.3} span_ms={every_ms}.0\r\n",
                 t.tries, t.failed
             ));
         }
@@ -874,11 +1092,12 @@
                 state.demand.insert(proxy, n);
             } else if state.proxies[proxy].joined {
                 text.push_str(&format!(
-                    "demand proxy={proxy} class=lookup tries={n} failed=0 span_ms=1000.0\r\n"
+                    "demand proxy={proxy} class=lookup tries={n} failed=0 span_ms={every_ms}.0\r\n"
                 ));
             }
         }
         drop(state);
+        std::thread::sleep(Duration::from_millis(late_ms));
         if socket.is_none() {
             socket = TcpStream::connect(controller).ok();
             text.insert_str(0, &format!("agent zone={name}\r\n"));
@@ -965,6 +1184,8 @@
             demand: BTreeMap::new(),
             visits: Vec::new(),
             refused: 0,
+            fulfilled: 0,
+            unfulfilled: 0,
             record: Vec::new(),
             ready_at: None,
             ended: false,
@@ -989,6 +1210,7 @@
                 since_ms: 0,
                 told_at: listed.then(Instant::now),
                 runs: *listed,
+                free_at: None,
                 version: 41,
             };
             lock(&world).servers.insert(name.to_string(), server);
