Take cold servers out of the table when those that remain will be overloaded

Cause: max_cold_weight limits a cold server's weight, which is no limit on its visits. Proxies avoid a server after failures of their own (specifics.strikes); once the warm ones are overloaded they pick the cold ones at any weight. The overload begins 1.5 s after the drain, the reports of it come 3 to 5 s after.

Evidence: by second, the four warm servers got 150 and 79 of 322 and 423 tries, the six cold ones 172 and 344 with at most 0.56 each of a table's weight of 6.3; the debug log shows no failure reported until then, and cold weights rising.

Change: src/overload.rs forecasts overload from the roster: visits of an average proxy by the weight that is left, against the highest such load that the fleet has served without overload. Only where the settings say that proxies avoid failing servers.

--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -176,6 +176,7 @@
         cold_capacity_share: settings.cold_capacity_share,
         warm_up_ms: settings.warm_up_ms,
         overload_multiple: settings.overload_multiple,
+        failures_until_avoided: 0,
         keep_unlisted_servers: settings.keep_unlisted_servers,
         default_retry_policy: match settings.default_retry_policy {
             RetryPolicy::Never => planner::RetryPolicy::Never,
--- a/crates/opening/src/lib.rs
+++ b/crates/opening/src/lib.rs
@@ -82,6 +82,8 @@
     report_lines_per_s: f64,
     #[serde(default)]
     shards: u64,
+    #[serde(default, rename = "strikes")]
+    failures_until_avoided: u32,
     #[serde(default)]
     proxies: usize,
 }
@@ -165,6 +167,7 @@
         cold_capacity_share: servers.cold_capacity_share,
         warm_up_ms: servers.warm_up_ms,
         overload_multiple: servers.overload_multiple,
+        failures_until_avoided: deployment.failures_until_avoided,
         keep_unlisted_servers: servers.keep_unlisted_servers,
         default_retry_policy: match deployment.retry_mode {
             0 => RetryPolicy::Never,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 //! The caller reports each event by one method call. After all events of one moment it calls
 //! [`rules::Planner::decide`], which returns the orders to carry out.
 
+mod overload;
 pub mod rules;
 mod state;
 
@@ -63,6 +64,8 @@
     pub warm_up_ms: f64,
     /// A server breaks down at this multiple of its current capacity.
     pub overload_multiple: f64,
+    /// Consecutive failures after which a proxy avoids a server for some seconds; 0 means never.
+    pub failures_until_avoided: u32,
     /// A server that is merely missing from a roster snapshot may stay in the tables.
     pub keep_unlisted_servers: bool,
     /// The retry policy that proxies follow until they are ordered another one.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,6 +11,7 @@
 //! servers; recovery; admission levels and retries; weights and bindings; probes last, as they cost
 //! work.
 
+use crate::overload::OverloadForecast;
 use crate::state::{
     self, Bucket, Channel, DerivedSettings, FleetQuantile, FleetStats, Part, Proxy, ReportTotals,
     Rng, Server, ZoneStats,
@@ -125,6 +126,8 @@
     /// Highest rate of tries, per millisecond and unit of weight, that the fleet has served without
     /// overload.
     sustained_rate: f64,
+    /// Which parts of the shared table are overloaded, or soon will be.
+    forecast: OverloadForecast,
     fleet: FleetStats,
     /// Totals of the reports since the last decision.
     reports: ReportTotals,
@@ -161,12 +164,28 @@
     has_healthy: bool,
     /// A server of it is warm and has a weight.
     has_warm: bool,
-    /// Weight of its warm servers, less the share of their tries that fails.
+    /// Weight of its warm servers.
     warm_weight: f64,
+    /// The same, less the share of their tries that fails.
+    answering_weight: f64,
+    /// Weight of its cold servers, each times the share of its capacity that it has.
+    cold_weight: f64,
     /// Recent tries at its servers.
     tries: f64,
 }
 
+impl PartTotals {
+    /// Weight of its servers, of which cold ones count with the capacity that they have.
+    fn weight(&self) -> f64 {
+        self.warm_weight + self.cold_weight
+    }
+
+    /// Share of that weight whose tries don't fail.
+    fn answering_share(&self) -> f64 {
+        (self.answering_weight + self.cold_weight) / self.weight().max(f64::MIN_POSITIVE)
+    }
+}
+
 /// Changes the state and adds to the orders if its condition holds; returns whether it did.
 type Rule = fn(&mut Planner) -> bool;
 /// Whether the reports speak against a server.
@@ -223,6 +242,7 @@
                 max_visit_gap_ms: settings.idle_timeout_ms * IDLE_TIMEOUT_SHARE,
                 cold_capacity_share: settings.cold_capacity_share,
                 warm_up_ms: settings.warm_up_ms,
+                proxies_avoid_failing_servers: settings.failures_until_avoided > 0,
                 max_cold_load: settings.overload_multiple * COLD_LOAD_SHARE,
                 keep_unlisted_servers: settings.keep_unlisted_servers,
                 may_probe: settings.may_probe,
@@ -239,6 +259,7 @@
             level_changed_at: now,
             ordered_levels: vec![level; settings.classes.len()],
             sustained_rate: 0.0,
+            forecast: OverloadForecast::default(),
             fleet: FleetStats::default(),
             reports: ReportTotals::default(),
             next_tick: now + TICK_MS,
@@ -624,7 +645,9 @@
         if on_tick {
             self.next_tick = self.now + TICK_MS;
         }
-        let targets = self.target_weights();
+        let parts = self.part_totals();
+        self.forecast_overload(&parts);
+        let targets = self.target_weights(&parts);
         let published = |t: &TargetWeight| self.servers[t.server].published_weight;
         // Parts in which a server has a weight and keeps one.
         let mut keeps_weight = vec![false; self.channel.parts.len()];
@@ -835,9 +858,47 @@
         if self.fleet.used_weight > 0.0 && !overloaded {
             let try_rate = self.fleet.try_rate(self.recent_window_ms());
             self.sustained_rate = self.sustained_rate.max(try_rate);
+            self.record_served_load();
         }
     }
 
+    /// Records the load that the fleet serves without overload.
+    fn record_served_load(&mut self) {
+        let weight = self.part_totals().iter().map(PartTotals::weight).sum();
+        let (lag_ms, visit_rate) = (self.report_lag_ms(), self.mean_visit_rate());
+        self.forecast
+            .record_served(self.now, lag_ms, visit_rate, weight);
+    }
+
+    /// Forecasts for each part whether its servers will be overloaded: by the fleet's load, and by
+    /// the share of the part's servers that answers.
+    fn forecast_overload(&mut self, parts: &[PartTotals]) {
+        let fleet_weight: f64 = parts.iter().map(PartTotals::weight).sum();
+        let (lag_ms, visit_rate) = (self.report_lag_ms(), self.mean_visit_rate());
+        for (i, part) in parts.iter().enumerate() {
+            let weight = fleet_weight * part.answering_share();
+            let load = self
+                .forecast
+                .update_part(i, self.now, lag_ms, visit_rate, weight);
+            if let Some(load) = load.filter(|_| part.cold_weight > 0.0) {
+                let note = format!("part {i} will have {load:.1} times the load served so far");
+                self.orders.notes.push(note);
+            }
+        }
+    }
+
+    /// Visits per millisecond that come to an average proxy.
+    fn mean_visit_rate(&self) -> f64 {
+        let visit_rate: f64 = self.proxies.values().map(|p| p.visit_rate).sum();
+        visit_rate / (self.proxies.len() as f64).max(1.0)
+    }
+
+    /// Time until the effect of a change has been reported: reports cover one bucket, and may arrive
+    /// another one later.
+    fn report_lag_ms(&self) -> f64 {
+        self.settings.bucket_ms * 2.0 + self.fleet.report_delay_ms
+    }
+
     /// Whether the fleet as a whole is slow or failing at a quantile, so that others can't take over
     /// the load of one server.
     fn is_strained(&self, quantile: FleetQuantile, limit_share: f64) -> bool {
@@ -937,8 +998,7 @@
 
     /// The weight that each server should have: listed weight times ramp times health, limited for cold
     /// servers. In a part where no weight would remain, health and unreachable zones are ignored.
-    fn target_weights(&self) -> Vec<TargetWeight> {
-        let parts = self.part_totals();
+    fn target_weights(&self, parts: &[PartTotals]) -> Vec<TargetWeight> {
         let has_warm = parts.iter().any(|part| part.has_warm);
         let target = |(server, s): (usize, &Server)| {
             let part = s.part?;
@@ -968,9 +1028,11 @@
             part.tries += s.recent.tries;
             if !s.cold {
                 let weight = self.uncapped_weight(s, part);
-                // Proxies avoid servers that fail, so only the share that warm servers answer counts.
-                part.warm_weight += weight * (1.0 - s.recent.failure_share());
+                part.warm_weight += weight;
+                part.answering_weight += weight * (1.0 - s.recent.failure_share());
                 part.has_warm |= weight > 0.0;
+            } else if s.is_ready() && !self.unreachable[s.zone] {
+                part.cold_weight += s.weight * s.health * self.capacity_share(s);
             }
         }
         parts
@@ -1007,6 +1069,9 @@
         if self.now - s.probe_failed_at < EJECTION_TICKS * TICK_MS {
             return 0.0;
         }
+        if part.has_warm && self.is_avoided_part(s) {
+            return 0.0;
+        }
         let max_share =
             self.cold_load_factor(part) * self.capacity_share(s) * self.settings.max_cold_load;
         // If hardly any other server answers, any weight at all would attract all visits.
@@ -1029,6 +1094,13 @@
         (growth * s.published_weight).max(max_share * s.weight)
     }
 
+    /// Whether proxies avoid the warm servers of a server's part, or soon will, since these are
+    /// overloaded: then any weight at all would attract nearly all visits.
+    fn is_avoided_part(&self, s: &Server) -> bool {
+        let is_overloaded = |part| self.forecast.is_overloaded(part, self.now);
+        self.settings.proxies_avoid_failing_servers && s.part.is_some_and(is_overloaded)
+    }
+
     /// Factor on the load that a cold server of a part may get: how many times its current load the
     /// part's warm servers could take.
     fn cold_load_factor(&self, part: &PartTotals) -> f64 {
@@ -1037,7 +1109,8 @@
         let factor = if !is_known {
             COLD_UNKNOWN_LOAD_FACTOR
         } else if part.has_warm {
-            part.warm_weight * self.sustained_rate / (part.tries / self.recent_window_ms())
+            // Proxies avoid servers that fail, so only the share that warm servers answer counts.
+            part.answering_weight * self.sustained_rate / (part.tries / self.recent_window_ms())
         } else {
             // Without warm servers, the load of the part depends only on the proxies bound to it.
             1.0
--- a/src/state.rs
+++ b/src/state.rs
@@ -583,6 +583,8 @@
     pub warm_up_ms: f64,
     /// Load that a cold server may be sent, as a multiple of its current capacity.
     pub max_cold_load: f64,
+    /// A proxy avoids a server for some seconds after some failures.
+    pub proxies_avoid_failing_servers: bool,
     /// A server that is merely missing from a snapshot may stay in the tables.
     pub keep_unlisted_servers: bool,
     /// Servers may be probed.
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -30,6 +30,7 @@
         cold_capacity_share: 0.2,
         warm_up_ms: 16_000.0,
         overload_multiple: 3.0,
+        failures_until_avoided: 0,
         keep_unlisted_servers: false,
         default_retry_policy: RetryPolicy::Never,
         may_probe: true,
@@ -153,6 +154,14 @@
         self.input(|p, now| p.roster_changed(now, update, roster));
     }
 
+    /// Starts to drain servers, all at once.
+    fn drain(&mut self, servers: std::ops::Range<usize>) {
+        let drains: Vec<_> = servers
+            .map(|s| entry(s, AdminState::Draining, None))
+            .collect();
+        self.update_roster(RosterUpdate::Changes, &drains);
+    }
+
     /// Lets seconds pass. Each second, reports arrive as `report` gives them for a server and a zone.
     fn run(&mut self, seconds: usize, report: impl Fn(usize, usize) -> Report) {
         for _ in 0..seconds {
@@ -415,6 +424,72 @@
     assert!(fleet.weight(0) > 0.25, "{}", fleet.weight(0));
 }
 
+/// Eight servers of which two were replaced by cold ones (8 and 9) four seconds ago, with proxies that
+/// avoid a server after this many failures.
+fn fleet_with_cold_servers(failures_until_avoided: u32) -> Fleet {
+    let settings = settings_with(|o| {
+        (o.failures_until_avoided, o.may_probe) = (failures_until_avoided, false);
+    });
+    let mut fleet = Fleet::new(8, &settings);
+    fleet.run(10, |s, _| HEALTHY.filter(|_| s < 8));
+    fleet.drain(0..2);
+    let cold = [8, 9].map(|s| entry(s, AdminState::Ready, Some(fleet.now)));
+    fleet.update_roster(RosterUpdate::Changes, &cold);
+    fleet.run(4, |s, _| HEALTHY.filter(|_| (2..8).contains(&s)));
+    assert!(fleet.weight(8) > 0.0 && fleet.weight(9) > 0.0);
+    fleet
+}
+
+/// Guards against cold servers that are pushed over when proxies avoid overloaded warm ones: these were
+/// left in the table until reports showed the overload, several seconds after most servers had left.
+#[test]
+fn cold_servers_leave_the_table_at_once_when_too_few_warm_ones_remain() {
+    for (failures_until_avoided, stays) in [(5, false), (0, true)] {
+        let mut fleet = fleet_with_cold_servers(failures_until_avoided);
+        fleet.drain(2..5);
+        for cold in [8, 9] {
+            assert_eq!(fleet.weight(cold) > 0.0, stays, "{:?}", fleet.notes);
+        }
+        assert!((5..8).all(|s| fleet.weight(s) == 1.0));
+        let is_told = |note: &String| note.contains("times the load served so far");
+        assert!(fleet.notes.iter().any(is_told), "{:?}", fleet.notes);
+    }
+}
+
+#[test]
+fn cold_servers_stay_out_of_the_table_while_the_warm_ones_fail() {
+    let mut fleet = fleet_with_cold_servers(5);
+    fleet.drain(2..5);
+    let failing = |s, _| Some((20.0, 18.0, 800.0)).filter(|_| (5..8).contains(&s));
+    for _ in 0..10 {
+        fleet.run(1, failing);
+        assert_eq!(fleet.weight(8), 0.0, "{:?}", fleet.notes);
+    }
+    fleet.run(4, failing);
+    assert!(fleet.weight(8) > 0.5, "warm by then: {:?}", fleet.notes);
+}
+
+#[test]
+fn cold_servers_return_to_the_table_once_the_others_have_served_the_load() {
+    let mut fleet = fleet_with_cold_servers(5);
+    fleet.drain(2..5);
+    assert_eq!(fleet.weight(8), 0.0);
+    fleet.run(9, |s, _| {
+        Some((26.0, 0.0, 300.0)).filter(|_| (5..8).contains(&s))
+    });
+    assert!(fleet.weight(8) > 0.0, "{:?}", fleet.notes);
+}
+
+#[test]
+fn cold_servers_leave_the_table_of_a_part_whose_warm_servers_fail() {
+    let mut fleet = fleet_with_cold_servers(5);
+    fleet.run(3, |s, _| {
+        Some((10.0, 5.0, 300.0)).filter(|_| (2..8).contains(&s))
+    });
+    assert_eq!(fleet.weight(8), 0.0, "{:?}", fleet.notes);
+    assert!((2..8).all(|s| fleet.weight(s) > 0.5), "{:?}", fleet.notes);
+}
+
 #[test]
 fn retries_need_proof_and_low_earnings_are_limited_first() {
     for admission in [Admission::Unused, Admission::Share] {
