Use a zone without proxies in need also where probes are allowed

Cause: in a split table detect_unreachable_zone takes a zone without joined proxies for cut off. reopen_zone opened it on an answered probe, which changes nothing in that condition, so it was closed again in the same decision. Trying such a zone in need was kept to deployments that may not probe.

Evidence: the log has both notes at the same moment, once a second; the planner alone gives 13 notes in 6 s.

Change: in a split table an answered probe no longer opens a zone by itself; it lets the zone be tried when it is needed, as without probes. Tables without parts are as before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -511,16 +511,19 @@
         true
     }
 
-    /// Uses an unreachable zone again, without a ramp, when one of its proxies has joined or one of its
-    /// servers has answered a probe. Neither ever happens where probes are not allowed and proxies join
-    /// the controller of their own zone. There the zone is tried with visits: at once if no reachable
-    /// zone has a warm server, or after the time of a ramp if these are strained. Prevents overload of
-    /// one zone next to idle ones, and all proxies of a lost zone falling on its first servers to
-    /// return. Does harm while the partition lasts.
+    /// Uses an unreachable zone again, without a ramp, when one of its proxies has joined, or in a table
+    /// without parts when one of its servers has answered a probe. A split table has no proxies for such
+    /// a zone. There it is tried with the visits of other zones when these need it: at once if no
+    /// reachable zone has a warm server, or after the time of a ramp if these are strained. Where probes
+    /// are allowed, one must have been answered. Prevents overload of one zone next to idle ones, and
+    /// all proxies of a lost zone falling on its first servers to return. Does harm while the partition
+    /// lasts.
     fn reopen_zone(&mut self) -> bool {
         let answers = |s: &Server| s.is_ready() && s.probe_succeeded_at > s.health_changed_at;
         let has_answer = |zone| self.find_server(|s| s.zone == zone && answers(s)).is_some();
-        let is_reached = |zone| self.zone_has_proxies(zone) || has_answer(zone);
+        // The condition under which `detect_unreachable_zone` doesn't close the zone again.
+        let is_split = self.channel.parts.len() > 1;
+        let is_reached = |zone| self.zone_has_proxies(zone) || !is_split && has_answer(zone);
         let is_usable = |s: &Server| s.is_ready() && !s.cold && !self.unreachable[s.zone];
         let none_usable = self.find_server(is_usable).is_none();
         let strained = self.is_strained(self.fleet.median, STRAIN_LIMIT_SHARE);
@@ -530,10 +533,13 @@
             // At once only if the zone wasn't tried this way before.
             let first_trial = none_usable && !self.on_trial[zone];
             let later_trial = (none_usable || strained) && waited(zone);
-            !self.settings.may_probe && (first_trial || later_trial)
+            first_trial || later_trial
+        };
+        let may_be_tried = |zone| !self.settings.may_probe || has_answer(zone);
+        let reopens = |zone: &usize| {
+            let is_tried = is_needed(*zone) && may_be_tried(*zone);
+            self.unreachable[*zone] && (is_reached(*zone) || is_tried)
         };
-        let reopens =
-            |zone: &usize| self.unreachable[*zone] && (is_reached(*zone) || is_needed(*zone));
         let Some(zone) = (0..self.unreachable.len()).find(reopens) else {
             return false;
         };
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -809,7 +809,12 @@
 
 impl ZoneController {
     fn new() -> ZoneController {
-        let settings = settings_with(|o| (o.may_probe, o.max_queued_lines) = (false, 1e6));
+        ZoneController::with_probes(false)
+    }
+
+    /// A controller that may probe servers, or may not.
+    fn with_probes(may_probe: bool) -> ZoneController {
+        let settings = settings_with(|o| (o.may_probe, o.max_queued_lines) = (may_probe, 1e6));
         let mut planner = Planner::new(0.0, 7, &settings);
         planner.roster_changed(0.0, RosterUpdate::Restored, &ready_servers(120));
         (0..60).for_each(|p| planner.proxy_joined(p, 0, 0.002));
@@ -858,6 +863,14 @@
         }
     }
 
+    /// Ends a probe of each server of zone 1.
+    fn answer_probes(&mut self, healthy: bool) {
+        for server in (1..120).step_by(2) {
+            self.planner.probe_answered(self.now, server, healthy, 1.0);
+        }
+        self.decide();
+    }
+
     /// Proxies that are bound to servers of zone 1.
     fn bound_elsewhere(&self) -> usize {
         let away = |part: &&usize| (1..120).step_by(2).any(|s| self.parts[s] == **part);
@@ -909,6 +922,36 @@
     }
 }
 
+/// Guards against proxies that are left without a server while another zone has warm ones: where probes
+/// are allowed, the zone was reopened and closed again in each decision.
+#[test]
+fn a_zone_without_proxies_is_used_once_all_servers_of_the_own_zone_have_left() {
+    for (may_probe, answers, elsewhere) in [(true, true, 60), (false, false, 60)] {
+        let case = format!("may probe {may_probe}, answers {answers}");
+        let mut controller = ZoneController::with_probes(may_probe);
+        for _ in 0..6 {
+            controller.run(1, |_| HEALTHY);
+            controller.answer_probes(answers);
+        }
+        let notes = &controller.notes;
+        assert_eq!(notes.len(), 1, "{case}: zones do not flap: {notes:?}");
+        assert_eq!(controller.bound_elsewhere(), 0, "{case}: not needed yet");
+        let drains = (0..60).map(|s| entry(2 * s, AdminState::Draining, None));
+        let drains: Vec<_> = drains.collect();
+        let (planner, now) = (&mut controller.planner, controller.now);
+        planner.roster_changed(now, RosterUpdate::Changes, &drains);
+        controller.decide();
+        assert_eq!(controller.bound_elsewhere(), elsewhere, "{case}: at once");
+        for _ in 0..6 {
+            controller.run(1, |_| HEALTHY);
+            controller.answer_probes(answers);
+        }
+        let (now_elsewhere, notes) = (controller.bound_elsewhere(), &controller.notes);
+        assert_eq!(now_elsewhere, elsewhere, "{case}: {notes:?}");
+        assert!(notes.len() <= 2, "{case}: zones do not flap: {notes:?}");
+    }
+}
+
 #[test]
 fn proxies_of_a_lost_zone_stay_elsewhere_while_few_servers_return() {
     let mut controller = ZoneController::new();
