Bind proxies to an unreachable zone rather than to no server

Change: excluded_zones is empty while no server of a reachable zone has a published weight.

Planner only: no case on sockets was made for it.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -719,9 +719,8 @@
         let departed = self.departed.values();
         let departed = departed.filter(|(left_at, _)| now - left_at < ramp_ms);
         let proxies = self.proxies.values().chain(departed.map(|(_, p)| p));
-        let loads = self
-            .channel
-            .loads(&self.servers, proxies, &self.unreachable);
+        let excluded_zones = self.excluded_zones();
+        let loads = self.channel.loads(&self.servers, proxies, &excluded_zones);
         // Visits per weight of a part to which `more` visits are added, as the proxy rates it.
         let load = |p: &Proxy, part: usize, more: f64| {
             let is_remote = self.channel.parts[part].is_in_other_zone(p.zone);
@@ -816,6 +815,18 @@
         self.proxies.values().any(|p| p.zone == zone)
     }
 
+    /// By zone: proxies are not bound to its servers. These are the unreachable zones, unless no other zone
+    /// has a server with a published weight: a server that may not answer is better than none.
+    fn excluded_zones(&self) -> Vec<bool> {
+        let is_open = |s: &Server| s.is_ready() && !s.withdrawn && s.published_weight > 0.0;
+        let is_reachable = |s: &Server| is_open(s) && !self.unreachable[s.zone];
+        if self.find_server(is_reachable).is_some() {
+            self.unreachable.clone()
+        } else {
+            vec![false; self.unreachable.len()]
+        }
+    }
+
     /// Whether a part has ready servers, but none with a published weight.
     fn part_is_empty(&self, part: usize) -> bool {
         let servers = self.ready_servers().filter(|s| s.part == Some(part));
--- a/src/state.rs
+++ b/src/state.rs
@@ -409,12 +409,12 @@
         selected.map(|(_, p)| p.max_messages).fold(0.0, f64::max)
     }
 
-    /// The load of each part. Servers that are withdrawn or in unreachable zones don't count.
+    /// The load of each part. Servers that are withdrawn or in excluded zones don't count.
     pub fn loads<'a>(
         &self,
         servers: &[Server],
         proxies: impl Iterator<Item = &'a Proxy>,
-        unreachable: &[bool],
+        excluded_zones: &[bool],
     ) -> Vec<PartLoad> {
         let mut loads = vec![PartLoad::default(); self.parts.len()];
         for p in proxies {
@@ -422,7 +422,7 @@
                 loads[part].visit_rate += p.visit_rate;
             }
         }
-        let is_open = |s: &&Server| s.is_ready() && !s.withdrawn && !unreachable[s.zone];
+        let is_open = |s: &&Server| s.is_ready() && !s.withdrawn && !excluded_zones[s.zone];
         for s in servers.iter().filter(is_open) {
             if let Some(part) = s.part {
                 loads[part].weight += s.published_weight;
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -952,6 +952,30 @@
     }
 }
 
+/// Guards against proxies that are left without a server while the roster has warm ones: those of a zone
+/// that counts as unreachable were left out even if there were no others.
+#[test]
+fn proxies_are_bound_to_an_unreachable_zone_rather_than_to_no_server() {
+    let mut controller = ZoneController::with_probes(true);
+    controller.run(4, |_| HEALTHY);
+    let states = [
+        (AdminState::Draining, 60, "no other server is left"),
+        (AdminState::Ready, 0, "there are others again"),
+    ];
+    for (admin_state, elsewhere, case) in states {
+        let own_zone = (0..60).map(|s| entry(2 * s, admin_state, None));
+        let own_zone: Vec<_> = own_zone.collect();
+        let (planner, now) = (&mut controller.planner, controller.now);
+        planner.roster_changed(now, RosterUpdate::Changes, &own_zone);
+        for _ in 0..6 {
+            controller.run(1, |zone| HEALTHY.filter(|_| zone == 0));
+            controller.answer_probes(false);
+        }
+        let bound = controller.bound_elsewhere();
+        assert_eq!(bound, elsewhere, "{case}: {:?}", controller.notes);
+    }
+}
+
 #[test]
 fn proxies_of_a_lost_zone_stay_elsewhere_while_few_servers_return() {
     let mut controller = ZoneController::new();
