--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -1,5 +1,6 @@
 //! Tests of the CI script `.ci/tests`, which lets only tests named in `KNOWN-RED.txt` fail. The script is
-//! the real one; a fake `cargo` lists and runs a few tests, some of which fail.
+//! the real one; a fake `cargo` lists and runs a few tests, some of which fail. Commands in the file are
+//! checked and printed, and let no test fail.
 
 use std::fs;
 use std::os::unix::fs::PermissionsExt;
@@ -52,12 +53,22 @@
         fs::write(&cargo, CARGO).unwrap();
         fs::set_permissions(&cargo, fs::Permissions::from_mode(0o755)).unwrap();
         fs::write(repo.0.join("failing"), failing).unwrap();
+        repo.add_file("review/3/run.sh", "touch command-ran\n");
+        repo.add_file("review/standin/src/cases.rs", "    \"return\" => Case {\n");
+        repo.add_file("deploy/sites/depot.toml", "");
         if let Some(known_red) = known_red {
             fs::write(repo.0.join("KNOWN-RED.txt"), known_red).unwrap();
         }
         repo
     }
 
+    /// Writes a file into the folder.
+    fn add_file(&self, path: &str, text: &str) {
+        let path = self.0.join(path);
+        fs::create_dir_all(path.parent().unwrap()).unwrap();
+        fs::write(path, text).unwrap();
+    }
+
     /// Runs the script: whether it passed, its output, and the tests that ran.
     fn run(&self) -> (bool, String, String) {
         let script = Path::new(env!("CARGO_MANIFEST_DIR")).join(".ci/tests");
@@ -188,3 +199,77 @@
         assert_eq!(out.2, ran, "{case}: {out:?}");
     }
 }
+
+#[test]
+fn commands_are_checked_and_printed_but_not_run_and_let_no_test_fail() {
+    const SCRIPT: &str = "by hand: sh review/3/run.sh | rule 3 is broken | issue 38\n";
+    const MODE: &str = "by hand: review-standin return | rule 1 is broken | issue 38\n";
+    const DAY: &str =
+        "by hand: lbreal ../other.toml --rough roll+mass --nodes 30 --seed 2 | rule 4 | issue 24\n";
+    const OWN_SITE: &str =
+        "by hand: lbreal deploy/sites/depot.toml --rough join --seed 3 | rule 4 | issue 24\n";
+    const TEST: &str = "a::one | the clock goes back | issue 7\n";
+    let all = "a::one a::two b::three b::four ";
+    let known = [SCRIPT, MODE, DAY, OWN_SITE, TEST].concat();
+    let printed = [
+        "known red, not run here: sh review/3/run.sh: rule 3 is broken (issue 38)",
+        "known red, not run here: review-standin return: rule 1 is broken (issue 38)",
+        "known red, not run here: lbreal ../other.toml --rough roll+mass --nodes 30 --seed 2: rule 4 (issue 24)",
+        "known red, not run here: lbreal deploy/sites/depot.toml --rough join --seed 3: rule 4 (issue 24)",
+        "known red, fails: a::one: the clock goes back (issue 7)",
+    ];
+    for (i, (failing, passes)) in [("a::one\n", true), ("a::one\na::two\n", false)]
+        .into_iter()
+        .enumerate()
+    {
+        let repo = TestRepo::new(100 + i, Some(&known), failing);
+        let (passed, output, ran) = repo.run();
+        assert_eq!(passed, passes, "{output}");
+        assert_eq!(ran, all, "{output}");
+        let lines: Vec<&str> = output.lines().collect();
+        assert!(printed.iter().all(|line| lines.contains(line)), "{output}");
+        assert!(!repo.0.join("command-ran").exists());
+    }
+
+    let seven = SCRIPT.repeat(7);
+    let refused = [
+        (seven.as_str(), "7 commands, 6 are allowed"),
+        (
+            "by hand: sh review/4/run.sh | x | issue 38",
+            "no such script",
+        ),
+        (
+            "by hand: review-standin gone | x | issue 38",
+            "no such mode",
+        ),
+        (
+            "by hand: lbreal deploy/sites/gone.toml --rough join --seed 3 | x | issue 38",
+            "no such site",
+        ),
+        (
+            "by hand: lbreal ../other.toml --rough join | x | issue 38",
+            "a command is not of the form",
+        ),
+        (
+            "by hand: cargo test a::one | x | issue 38",
+            "a command is not of the form",
+        ),
+        (
+            "by hand: sh review/3/run.sh; true | x | issue 38",
+            "a command is not of the form",
+        ),
+        (
+            "by hand: sh review/3/run.sh | x",
+            "a line is not of the form",
+        ),
+        (
+            "by hand: sh review/3/run.sh |  | issue 38",
+            "a line is not of the form",
+        ),
+    ];
+    for (i, (known, text)) in refused.into_iter().enumerate() {
+        let (passed, output, ran) = TestRepo::new(200 + i, Some(known), "").run();
+        assert!(!passed && output.contains(text), "{known}: {output}");
+        assert_eq!(ran, "", "{known}");
+    }
+}
