--- /dev/null
+++ b/crates/platform/src/delivery/batch.rs
@@ -0,0 +1,105 @@
+//! The commands of one decision on their way to the relay.
+
+use super::ProxyEpoch;
+use crate::relay::Command;
+
+/// The commands of one decision that are not yet confirmed.
+#[derive(Clone, Debug)]
+pub(super) struct Batch {
+    pub commands: Vec<Command>,
+    /// The proxy and epoch of each binding, in the order of the bindings.
+    pub epochs: Vec<ProxyEpoch>,
+    /// The mark sent after the last command.
+    pub mark: Option<u32>,
+    /// Whether the mark was sent with all remaining commands, so that its acknowledgement confirms them.
+    pub mark_sent: bool,
+    /// Whether the mark was acknowledged.
+    pub acknowledged: bool,
+    /// Lines that the decision costs in the channel.
+    pub cost_lines: f64,
+    /// Failed attempts since the last accepted one.
+    pub attempts: u32,
+    /// Whether the relay refused it once (rule 8).
+    pub refused: bool,
+}
+
+/// What a command sets: a later one with the same key supersedes it. Ordered only for use in sets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum CommandKey {
+    Share(usize, usize),
+    Admit(usize, usize),
+    Withdraw(usize),
+    Bind(usize),
+    Mark,
+}
+
+fn command_key(command: &Command) -> CommandKey {
+    match command {
+        Command::Share { table, server, .. } => CommandKey::Share(*table, *server),
+        Command::Admit { table, class, .. } => CommandKey::Admit(*table, *class),
+        Command::Withdraw { server, .. } => CommandKey::Withdraw(*server),
+        Command::Bind { proxy, .. } => CommandKey::Bind(*proxy),
+        Command::Mark(_) => CommandKey::Mark,
+    }
+}
+
+impl Batch {
+    /// Whether the acknowledgement of a mark confirms this batch.
+    pub fn is_confirmed_by(&self, mark: u32) -> bool {
+        self.mark_sent && self.mark == Some(mark)
+    }
+
+    /// Returns the keys of its commands.
+    pub fn keys(&self) -> impl Iterator<Item = CommandKey> + '_ {
+        self.commands.iter().map(command_key)
+    }
+
+    /// Keeps the commands that pass, with the epochs of the bindings among them. `pass` gets the epoch
+    /// for bindings only.
+    pub fn retain(&mut self, pass: impl Fn(CommandKey, Option<ProxyEpoch>) -> bool) {
+        let mut epochs = std::mem::take(&mut self.epochs).into_iter();
+        let kept = &mut self.epochs;
+        self.commands.retain(|command| {
+            let epoch = match command {
+                Command::Bind { .. } => epochs.next(),
+                _ => None,
+            };
+            let passes = pass(command_key(command), epoch);
+            kept.extend(epoch.filter(|_| passes));
+            passes
+        });
+    }
+
+    /// Drops the first `count` commands.
+    pub fn drop_first(&mut self, count: usize) {
+        let rest = self.split_off(count);
+        *self = rest;
+    }
+
+    /// Splits off the commands after the first `count`. The mark is with the last part.
+    pub fn split_off(&mut self, count: usize) -> Batch {
+        let commands = self.commands.split_off(count.min(self.commands.len()));
+        let is_bind = |command: &&Command| matches!(command, Command::Bind { .. });
+        let bind_count = self.commands.iter().filter(is_bind).count();
+        let epochs = self.epochs.split_off(bind_count);
+        Batch {
+            mark: if commands.is_empty() { None } else { self.mark },
+            mark_sent: self.mark_sent && !commands.is_empty(),
+            acknowledged: false,
+            cost_lines: self.cost_lines,
+            commands,
+            epochs,
+            attempts: 0,
+            refused: false,
+        }
+    }
+
+    /// Takes out the withdrawals and restores.
+    pub fn take_withdrawals(&mut self) -> Vec<Command> {
+        let (withdrawals, rest) = std::mem::take(&mut self.commands)
+            .into_iter()
+            .partition(|command| matches!(command, Command::Withdraw { .. }));
+        self.commands = rest;
+        withdrawals
+    }
+}
