--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -3,11 +3,12 @@
 //! It feeds the planner and passes its decisions on. It decides nothing itself beyond the rules of
 //! [`crate::delivery`] and [`crate::membership`].
 
+use crate::commands::into_commands;
 use crate::delivery::{Call, CallOutcome, Delivery, Feedback, ProxyEpoch};
 use crate::discovery::EndpointList;
 use crate::inbound::Report;
 use crate::membership::{Membership, MembershipChange};
-use crate::relay::{Command, NameLookup, RelayEvent};
+use crate::relay::{NameLookup, RelayEvent};
 use crate::slots::ServerSlots;
 use dahliapoint::rules::Planner;
 use dahliapoint::{AdminState, Orders, RosterEntry, RosterUpdate, TryStats};
@@ -219,7 +220,8 @@
         let membership = &self.membership;
         let is_current =
             |(proxy, epoch)| membership.is_joined(proxy) && membership.epoch(proxy) == epoch;
-        self.delivery.next_call(now, &names, &is_current, feedback)
+        self.delivery
+            .next_call(now, &names, &is_current, &mut self.planner, feedback)
     }
 
     /// Handles one input. Returns whether the planner has anything new.
@@ -277,7 +279,8 @@
                 false
             }
             Input::CallEnded { number, outcome } => {
-                self.delivery.call_ended(now, number, outcome, feedback);
+                self.delivery
+                    .call_ended(now, number, outcome, &mut self.planner, feedback);
                 false
             }
         }
@@ -534,27 +537,3 @@
         updates.chain(bindings).sum()
     }
 }
-
-/// Converts a decision to commands, in the order of the fields of [`Orders`].
-fn into_commands(orders: Orders) -> Vec<Command> {
-    let lines = orders.lines.into_iter();
-    let lines = lines.map(|(table, server, weight)| Command::Share {
-        table,
-        server,
-        weight,
-    });
-    let levels = orders.levels.into_iter();
-    let levels = levels.map(|(table, class, share, retry_policy)| Command::Admit {
-        table,
-        class,
-        share,
-        retry_policy,
-    });
-    let withdrawals = orders.withdrawals.into_iter();
-    let withdrawals =
-        withdrawals.map(|(server, withdrawn)| Command::Withdraw { server, withdrawn });
-    let bindings = orders.bindings.into_iter();
-    let bindings = bindings.map(|(proxy, table)| Command::Bind { proxy, table });
-    let updates = lines.chain(levels).chain(withdrawals);
-    updates.chain(bindings).collect()
-}
--- a/crates/platform/src/delivery.rs
+++ b/crates/platform/src/delivery.rs
@@ -14,25 +14,31 @@
 //! 5. **Not sent**: the call did not leave completely: sent again, with delays that grow to a bound.
 //! 6. **Unconfirmed** (no reply, a connection lost after the last byte, an unreadable reply): a call of
 //!    few lines is sent again unchanged at once, while all lines resent this way recently stay a small
-//!    share of what may wait in the channel. This keeps tables from lagging behind their decision. It
-//!    could do harm where the relay breaks every call, so the share bounds it.
+//!    share of what may wait in the channel, and if the limit on messages to a proxy allows it. This keeps
+//!    tables from lagging behind their decision. If the outcome is unknown again, the call is set aside,
+//!    and sent again on the same conditions whenever an acknowledgement should have arrived.
 //! 7. Of an unconfirmed call of more lines, withdrawals and restores are sent again at once, ahead of
 //!    everything else: they are short, and drains must not be delayed. The rest is set aside until its
 //!    mark is acknowledged, which shows that it was carried out; later calls go on meanwhile. Without
 //!    an acknowledgement in time it was not carried out and nothing of it waits in the channel:
 //!    weights and levels are sent again, bindings are returned to the planner, which paces them.
-//!    Calls are resent by rules 6 and 7 at once the first time, and after growing delays from then on.
+//!    Withdrawals are resent at once the first time, and after growing delays from then on.
 //! 8. **Refused** (`bad_request`): sent once more, then dropped and logged.
 //! 9. **Relay out of reach for long**: the queue is reduced to commands that no later one overrides.
 //! 10. **Acknowledged**: the acknowledgement of a mark that was sent shows that its call was carried
 //!     out, whenever it arrives: before the call's outcome is known, while the call waits to be resent,
 //!     or while it is set aside. The call is not sent again. Only the call that contained the mark is
 //!     confirmed: an earlier part of a split decision stays unconfirmed.
+//! 11. **Counted**: a call that is sent again is one more message to each proxy concerned, as is what follows
+//!     a command that halted the relay or the size limit of a call. The planner counts it
+//!     ([`ChannelBudget`]) and gives it a mark of its own.
 
 mod batch;
+mod budget;
 
 use crate::relay::{Command, MAX_CALL_BYTES, NameLookup, Reply};
 use batch::{Batch, CommandKey};
+pub use budget::ChannelBudget;
 use std::collections::{BTreeSet, VecDeque};
 
 /// First delay before a call is sent again; it doubles with each attempt.
@@ -42,6 +48,8 @@
 /// An acknowledgement takes a message's latency and the time its lines wait in the channel. None is
 /// expected after this many mean latencies, plus half the time of a full channel and `ACK_MARGIN_MS`.
 const ACK_LATENCIES: f64 = 3.0;
+/// An unconfirmed call is sent again after this many mean latencies without an acknowledgement.
+const RESEND_LATENCIES: f64 = 2.0;
 /// Fixed part of the time allowed for an acknowledgement.
 const ACK_MARGIN_MS: f64 = 300.0;
 /// Share of the channel's capacity that may be resent at once (rule 6) within the time that a full
@@ -67,8 +75,10 @@
 /// An unconfirmed batch that waits for its acknowledgement (rule 7).
 struct UnconfirmedBatch {
     batch: Batch,
+    /// When it is sent again if its limits allow it (ms).
+    resend_at: f64,
     /// When it counts as not carried out (ms).
-    deadline: f64,
+    expires_at: f64,
 }
 
 /// The call under way, made from the first batch of the queue.
@@ -112,6 +122,8 @@
     not_before: f64,
     /// Time allowed for an acknowledgement.
     ack_timeout_ms: f64,
+    /// Time after which an unconfirmed call of few lines is sent again.
+    resend_interval_ms: f64,
     /// Lines resent recently by rule 6; they decay with time.
     resent_lines: f64,
     /// When that number was last updated (ms).
@@ -134,6 +146,7 @@
             last_number: 0,
             not_before: f64::NEG_INFINITY,
             ack_timeout_ms: message_latency_ms * ACK_LATENCIES + backlog_ms / 2.0 + ACK_MARGIN_MS,
+            resend_interval_ms: (message_latency_ms * RESEND_LATENCIES).max(MAX_RETRY_DELAY_MS),
             resent_lines: 0.0,
             resent_updated_at: f64::NEG_INFINITY,
             max_queued_lines,
@@ -157,10 +170,11 @@
             commands,
             epochs,
             mark,
-            mark_sent: false,
+            sent_marks: Vec::new(),
             acknowledged: false,
             cost_lines,
             attempts: 0,
+            is_resent: false,
             refused: false,
         });
         self.drop_superseded_unconfirmed();
@@ -233,8 +247,8 @@
     pub fn wake_at(&self) -> Option<f64> {
         let idle = self.active_call.is_none() && !self.queue.is_empty();
         let send = idle.then_some(self.not_before);
-        let expiry = self.unconfirmed.iter().map(|pending| pending.deadline);
-        expiry.chain(send).min_by(f64::total_cmp)
+        let resend = self.unconfirmed.iter().map(|pending| pending.resend_at);
+        resend.chain(send).min_by(f64::total_cmp)
     }
 
     /// Returns the call to make now, if there is one and none is under way. `is_current` tells whether a
@@ -244,9 +258,10 @@
         now: f64,
         names: &dyn NameLookup,
         is_current: &dyn Fn(ProxyEpoch) -> bool,
+        budget: &mut dyn ChannelBudget,
         feedback: &mut Feedback,
     ) -> Option<Call> {
-        self.expire_unconfirmed(now, feedback);
+        self.resend_unconfirmed(now, budget, feedback);
         if self.active_call.is_some() || now < self.not_before {
             return None;
         }
@@ -287,7 +302,7 @@
             has_mark: mark.is_some(),
         });
         if let Some(first) = self.queue.front_mut() {
-            first.mark_sent |= mark.is_some();
+            first.mark_is_sent(mark);
         }
         Some(Call {
             number: self.last_number,
@@ -305,29 +320,43 @@
         self.queue.push_front(first);
     }
 
-    /// Rule 7: resends what was not acknowledged in time, and returns its bindings.
-    fn expire_unconfirmed(&mut self, now: f64, feedback: &mut Feedback) {
-        let is_expired = |pending: &UnconfirmedBatch| pending.deadline <= now;
-        if !self.unconfirmed.iter().any(is_expired) {
+    /// Rules 6 and 7: resends what was not acknowledged in time. What counts as not carried out returns its
+    /// bindings.
+    fn resend_unconfirmed(
+        &mut self,
+        now: f64,
+        budget: &mut dyn ChannelBudget,
+        feedback: &mut Feedback,
+    ) {
+        let is_due = |pending: &UnconfirmedBatch| pending.resend_at <= now;
+        if !self.unconfirmed.iter().any(is_due) {
             return;
         }
-        let (expired, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.unconfirmed)
+        let (due, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.unconfirmed)
             .into_iter()
-            .partition(is_expired);
+            .partition(is_due);
         self.unconfirmed = kept;
-        for pending in expired.into_iter().rev() {
-            let mut batch = pending.batch;
-            feedback.lost_bindings.append(&mut batch.epochs);
-            batch
-                .commands
-                .retain(|command| !matches!(command, Command::Bind { .. }));
-            feedback.notes.push(format!(
-                "a call of unknown outcome was not carried out: {} orders go again",
-                batch.commands.len()
-            ));
+        for mut pending in due.into_iter().rev() {
+            let has_expired = pending.expires_at <= now;
+            if has_expired {
+                pending.batch.is_not_carried_out(budget, feedback);
+            }
+            if pending.batch.commands.is_empty() {
+                continue;
+            }
+            let has_room = has_expired || self.is_cheap(now, &pending.batch);
+            if !has_room || !budget.may_resend(now, &pending.batch.commands) {
+                pending.resend_at = now + MAX_RETRY_DELAY_MS;
+                self.unconfirmed.push(pending);
+                continue;
+            }
+            if !has_expired {
+                self.resent_lines += pending.batch.cost_lines;
+            }
+            pending.batch.count_resent(now, budget);
             // Ahead of later decisions, which supersede it.
             let at = usize::from(self.active_call.is_some());
-            self.queue.insert(at.min(self.queue.len()), batch);
+            self.queue.insert(at.min(self.queue.len()), pending.batch);
         }
     }
 
@@ -337,105 +366,139 @@
         now: f64,
         number: u64,
         outcome: CallOutcome,
+        budget: &mut dyn ChannelBudget,
         feedback: &mut Feedback,
     ) {
-        let Some(call) = self.active_call.filter(|call| call.number == number) else {
+        let Some(call) = self.active_call.take_if(|call| call.number == number) else {
             return;
         };
-        self.active_call = None;
-        let decayed = (now - self.resent_updated_at) * self.lines_per_ms * RESEND_SHARE;
-        (self.resent_lines, self.resent_updated_at) = ((self.resent_lines - decayed).max(0.0), now);
-        let resend_budget = self.max_queued_lines * RESEND_SHARE - self.resent_lines;
-        let Some(first) = self.queue.front_mut() else {
+        let Some(mut batch) = self.queue.pop_front() else {
             return;
         };
         let sent = call.command_count + usize::from(call.has_mark);
         let outcome = match outcome {
             CallOutcome::Replied(Reply::Accepted(n)) if n <= sent => outcome,
-            _ if first.acknowledged => CallOutcome::Replied(Reply::Accepted(sent)),
+            _ if batch.acknowledged => CallOutcome::Replied(Reply::Accepted(sent)),
             _ => outcome,
         };
-        let is_cheap = first.cost_lines <= resend_budget;
-        let retry_delay = |attempts: u32| {
-            (FIRST_RETRY_DELAY_MS * f64::from(1 << attempts.min(8))).min(MAX_RETRY_DELAY_MS)
-        };
-        let resend_at = |attempts: u32| match attempts {
-            0 => now,
-            n => now + retry_delay(n - 1),
-        };
         match outcome {
             CallOutcome::Replied(Reply::Accepted(n)) if n == sent => {
-                first.drop_first(call.command_count);
-                first.attempts = 0;
-                if first.commands.is_empty() {
-                    self.queue.pop_front();
-                }
+                batch.drop_first(call.command_count);
+                batch.attempts = 0;
+                self.continue_batch(now, batch, budget);
             }
             CallOutcome::Replied(Reply::Accepted(n)) if n < sent => {
-                let halted = first.commands.get(n).cloned();
+                let halted = batch.commands.get(n).cloned();
                 feedback.notes.push(format!(
                     "the relay halted at order {n} of {sent}: {halted:?}"
                 ));
                 // Halted at the mark, all commands before it were accepted.
-                first.drop_first((n + 1).min(call.command_count));
-                if first.commands.is_empty() {
-                    self.queue.pop_front();
-                }
-            }
-            CallOutcome::Replied(Reply::TooManyCalls) => {
-                self.not_before = now + retry_delay(first.attempts);
-                first.attempts += 1;
+                batch.drop_first((n + 1).min(call.command_count));
+                self.continue_batch(now, batch, budget);
             }
-            CallOutcome::NotSent => {
-                self.not_before = now + retry_delay(first.attempts);
-                first.attempts += 1;
+            CallOutcome::Replied(Reply::TooManyCalls) | CallOutcome::NotSent => {
+                self.not_before = now + retry_delay(batch.attempts);
+                batch.attempts += 1;
+                self.queue.push_front(batch);
             }
-            CallOutcome::Replied(Reply::BadRequest) if !first.refused => {
-                first.refused = true;
+            CallOutcome::Replied(Reply::BadRequest) if !batch.refused => {
+                batch.refused = true;
                 self.not_before = now + FIRST_RETRY_DELAY_MS;
+                self.queue.push_front(batch);
             }
             CallOutcome::Replied(Reply::BadRequest) => {
                 feedback.notes.push(format!(
                     "the relay refused a call of {sent} orders twice: dropped"
                 ));
-                self.queue.pop_front();
-            }
-            CallOutcome::Replied(_) | CallOutcome::Unknown if is_cheap => {
-                self.resent_lines += first.cost_lines;
-                self.not_before = resend_at(first.attempts);
-                first.attempts += 1;
             }
             CallOutcome::Replied(_) | CallOutcome::Unknown => {
-                let Some(mut batch) = self.queue.pop_front() else {
-                    return;
-                };
-                // Commands that did not fit into this call stay queued.
-                let rest = batch.split_off(call.command_count);
-                if !rest.commands.is_empty() {
-                    // The mark stays with them and does not confirm the unconfirmed part.
-                    batch.mark = None;
-                    self.queue.push_front(rest);
-                }
-                let withdrawals = batch.take_withdrawals();
-                if !withdrawals.is_empty() {
-                    self.not_before = resend_at(batch.attempts);
-                    self.queue.push_front(Batch {
-                        commands: withdrawals,
-                        epochs: Vec::new(),
-                        mark: None,
-                        mark_sent: false,
-                        acknowledged: false,
-                        cost_lines: batch.cost_lines,
-                        attempts: batch.attempts + 1,
-                        refused: false,
-                    });
-                }
-                let deadline = now + self.ack_timeout_ms;
-                if !batch.commands.is_empty() {
-                    self.unconfirmed.push(UnconfirmedBatch { batch, deadline });
-                    self.drop_superseded_unconfirmed();
-                }
+                self.outcome_unknown(now, call, batch, budget);
             }
         }
     }
+
+    /// Queues what is left of a batch after a part of it was carried out, as one more message.
+    fn continue_batch(&mut self, now: f64, mut batch: Batch, budget: &mut dyn ChannelBudget) {
+        if !batch.commands.is_empty() {
+            batch.count_resent(now, budget);
+            self.queue.push_front(batch);
+        }
+    }
+
+    /// Rules 6 and 7: the outcome of a call of the batch is unknown.
+    fn outcome_unknown(
+        &mut self,
+        now: f64,
+        call: ActiveCall,
+        mut batch: Batch,
+        budget: &mut dyn ChannelBudget,
+    ) {
+        let is_cheap = self.is_cheap(now, &batch);
+        let is_first = !std::mem::replace(&mut batch.is_resent, true);
+        if is_first && is_cheap && budget.may_resend(now, &batch.commands) {
+            self.resent_lines += batch.cost_lines;
+            self.not_before = now;
+            batch.count_resent(now, budget);
+            self.queue.push_front(batch);
+            return;
+        }
+        // Commands that did not fit into this call stay queued.
+        let mut rest = batch.split_off(call.command_count);
+        if !rest.commands.is_empty() {
+            // The mark goes with them and does not confirm the unconfirmed part.
+            rest.count_resent(now, budget);
+            self.queue.push_front(rest);
+        }
+        let expires_at = now + self.ack_timeout_ms;
+        let mut resend_at = now + self.resend_interval_ms;
+        if !is_cheap {
+            self.resend_withdrawals(now, &mut batch, budget);
+            resend_at = expires_at;
+        }
+        if !batch.commands.is_empty() {
+            self.unconfirmed.push(UnconfirmedBatch {
+                batch,
+                resend_at,
+                expires_at,
+            });
+            self.drop_superseded_unconfirmed();
+        }
+    }
+
+    /// Rule 7: takes the withdrawals and restores out of a batch and queues them ahead of everything else.
+    fn resend_withdrawals(&mut self, now: f64, batch: &mut Batch, budget: &mut dyn ChannelBudget) {
+        let withdrawals = batch.take_withdrawals();
+        if withdrawals.is_empty() {
+            return;
+        }
+        budget.count_resent(now, &withdrawals);
+        self.not_before = match batch.attempts {
+            0 => now,
+            n => now + retry_delay(n - 1),
+        };
+        self.queue.push_front(Batch {
+            commands: withdrawals,
+            epochs: Vec::new(),
+            mark: None,
+            sent_marks: Vec::new(),
+            acknowledged: false,
+            cost_lines: batch.cost_lines,
+            attempts: batch.attempts + 1,
+            is_resent: true,
+            refused: false,
+        });
+    }
+
+    /// Rule 6: whether the lines of a batch, with those resent recently, are a small share of the channel's
+    /// capacity.
+    fn is_cheap(&mut self, now: f64, batch: &Batch) -> bool {
+        let decayed = (now - self.resent_updated_at) * self.lines_per_ms * RESEND_SHARE;
+        (self.resent_lines, self.resent_updated_at) = ((self.resent_lines - decayed).max(0.0), now);
+        batch.cost_lines <= self.max_queued_lines * RESEND_SHARE - self.resent_lines
+    }
+}
+
+/// Delay after this many failed attempts.
+fn retry_delay(attempts: u32) -> f64 {
+    (FIRST_RETRY_DELAY_MS * f64::from(1 << attempts.min(8))).min(MAX_RETRY_DELAY_MS)
 }
--- a/crates/platform/src/delivery/batch.rs
+++ b/crates/platform/src/delivery/batch.rs
@@ -1,24 +1,30 @@
 //! The commands of one decision on their way to the relay.
 
-use super::ProxyEpoch;
+use super::{ChannelBudget, Feedback, ProxyEpoch};
 use crate::relay::Command;
 
+/// Marks of earlier calls of a batch that are remembered; the oldest is forgotten.
+const MAX_SENT_MARKS: usize = 8;
+
 /// The commands of one decision that are not yet confirmed.
 #[derive(Clone, Debug)]
 pub(super) struct Batch {
     pub commands: Vec<Command>,
     /// The proxy and epoch of each binding, in the order of the bindings.
     pub epochs: Vec<ProxyEpoch>,
-    /// The mark sent after the last command.
+    /// The mark to send after the last command.
     pub mark: Option<u32>,
-    /// Whether the mark was sent with all remaining commands, so that its acknowledgement confirms them.
-    pub mark_sent: bool,
+    /// The marks of calls that contained all remaining commands, so that the acknowledgement of any of
+    /// them confirms these.
+    pub sent_marks: Vec<u32>,
     /// Whether the mark was acknowledged.
     pub acknowledged: bool,
     /// Lines that the decision costs in the channel.
     pub cost_lines: f64,
     /// Failed attempts since the last accepted one.
     pub attempts: u32,
+    /// Whether it was sent again after a call of unknown outcome, or set aside.
+    pub is_resent: bool,
     /// Whether the relay refused it once (rule 8).
     pub refused: bool,
 }
@@ -46,7 +52,35 @@
 impl Batch {
     /// Whether the acknowledgement of a mark confirms this batch.
     pub fn is_confirmed_by(&self, mark: u32) -> bool {
-        self.mark_sent && self.mark == Some(mark)
+        self.sent_marks.contains(&mark)
+    }
+
+    /// Records that a call with this mark and all remaining commands was made.
+    pub fn mark_is_sent(&mut self, mark: Option<u32>) {
+        self.sent_marks.extend(mark);
+        if self.sent_marks.len() > MAX_SENT_MARKS {
+            self.sent_marks.remove(0);
+        }
+    }
+
+    /// Counts the commands as one more message, and takes its mark.
+    pub fn count_resent(&mut self, now: f64, budget: &mut dyn ChannelBudget) {
+        self.mark = budget.count_resent(now, &self.commands);
+    }
+
+    /// Records that none of its calls was carried out: nothing of them waits in the channel, and its bindings
+    /// return to the planner.
+    pub fn is_not_carried_out(&mut self, budget: &mut dyn ChannelBudget, feedback: &mut Feedback) {
+        for mark in self.sent_marks.drain(..) {
+            budget.message_lost(mark);
+        }
+        feedback.lost_bindings.append(&mut self.epochs);
+        self.commands
+            .retain(|command| !matches!(command, Command::Bind { .. }));
+        feedback.notes.push(format!(
+            "a call of unknown outcome was not carried out: {} orders go again",
+            self.commands.len()
+        ));
     }
 
     /// Returns the keys of its commands.
@@ -84,12 +118,13 @@
         let epochs = self.epochs.split_off(bind_count);
         Batch {
             mark: if commands.is_empty() { None } else { self.mark },
-            mark_sent: self.mark_sent && !commands.is_empty(),
+            sent_marks: self.sent_marks.clone(),
             acknowledged: false,
             cost_lines: self.cost_lines,
             commands,
             epochs,
             attempts: 0,
+            is_resent: false,
             refused: false,
         }
     }
--- /dev/null
+++ b/crates/platform/tests/channel.rs
@@ -0,0 +1,320 @@
+//! The limits of the channel to the proxies, with a simulated relay whose calls fail for a while. Time is
+//! simulated: every call ends, and every message arrives, at a fixed time after it was sent.
+
+use dahliapoint::AdminState;
+use dahliapoint_opening::{Deployment, parse_deployment};
+use dahliapoint_platform::core::{Core, Effects, Input};
+use dahliapoint_platform::delivery::CallOutcome;
+use dahliapoint_platform::discovery::{Endpoint, EndpointList};
+use dahliapoint_platform::relay::{RelayEvent, Reply};
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet};
+
+const START: f64 = 1.7e12;
+/// Time from a call to the relay's reply.
+const REPLY_MS: f64 = 5.0;
+
+/// The figures of a deployment that a test sets.
+#[derive(Clone, Copy)]
+struct Figures {
+    proxies: usize,
+    servers: usize,
+    lines_per_s: f64,
+    max_queued_lines: f64,
+    message_overhead_lines: f64,
+    latency_ms: f64,
+    /// Messages to one proxy within [`MESSAGE_WINDOW_MS`]; 0 means no limit.
+    max_messages: usize,
+}
+
+/// The window in which messages to a proxy are counted.
+const MESSAGE_WINDOW_MS: f64 = 10_000.0;
+
+fn deployment(figures: &Figures) -> Deployment {
+    let settings = json!({
+        "lanes": [{"name": "view", "aimNs": 1_000_000_000, "credit": 1.0}],
+        "zones": ["a"],
+        "rules": {"coldFrom": 0.15, "fallMultiple": 2.5, "rampTimeNs": 16_000_000_000_u64},
+        "specifics": {"mostWaiting": figures.max_queued_lines, "egressPerS": figures.lines_per_s,
+            "pushDelayNs": (figures.latency_ms * 1e6) as u64, "overhead": figures.message_overhead_lines,
+            "reportEveryNs": 500_000_000, "ingestRate": 300.0, "proxies": figures.proxies, "standing": 12.0,
+            "messagesMost": figures.max_messages, "reloadSpanNs": (MESSAGE_WINDOW_MS * 1e6) as u64},
+        "limits": {"connIdleNs": 15_000_000_000_u64, "probing": false},
+        "tickNs": 2_000_000,
+    });
+    parse_deployment(&settings).unwrap()
+}
+
+fn endpoint(name: &str, admin_state: AdminState, started_at_ms: f64) -> Endpoint {
+    Endpoint {
+        name: name.into(),
+        address: Some("127.0.0.1:9".parse().unwrap()),
+        zone: 0,
+        admin_state,
+        weight: 1.0,
+        started_at_ms,
+    }
+}
+
+/// A message on its way to a proxy.
+struct Message {
+    proxy: usize,
+    /// When it has left the channel.
+    leaves_at: f64,
+    arrives_at: f64,
+    lines: f64,
+    mark: Option<u32>,
+    /// Servers that it withdraws.
+    withdrawn: Vec<String>,
+}
+
+/// A controller, and a relay with its channel and proxies.
+struct World {
+    figures: Figures,
+    core: Core,
+    now: f64,
+    wake_at: Option<f64>,
+    index: u64,
+    /// The call under way: when it ends, its number and outcome.
+    call: Option<(f64, u64, CallOutcome)>,
+    /// Calls are carried out, but their replies are lost, until this time.
+    replies_lost_until: f64,
+    tables: BTreeMap<String, BTreeSet<String>>,
+    bound: BTreeMap<usize, String>,
+    messages: Vec<Message>,
+    /// When the channel has sent all that waits in it.
+    channel_free_at: f64,
+    /// Times of the messages to each proxy.
+    sent_at: BTreeMap<usize, Vec<f64>>,
+    /// When the last proxy has applied a server's withdrawal.
+    withdrawn_at: BTreeMap<String, f64>,
+    most_messages: usize,
+    most_queued_lines: f64,
+}
+
+impl World {
+    /// Servers `s-0`, `s-1`, ... that started long ago, and proxies that are all bound.
+    fn new(figures: Figures) -> World {
+        let names = (0..figures.servers).map(|i| format!("s-{i}"));
+        let known = EndpointList {
+            index: 1,
+            is_snapshot: true,
+            endpoints: names
+                .map(|n| endpoint(&n, AdminState::Ready, 0.0))
+                .collect(),
+            rejected: Vec::new(),
+        };
+        let mut world = World {
+            figures,
+            core: Core::new(START, 7, deployment(&figures), &known),
+            now: START,
+            wake_at: Some(START),
+            index: 1,
+            call: None,
+            replies_lost_until: START,
+            tables: BTreeMap::new(),
+            bound: BTreeMap::new(),
+            messages: Vec::new(),
+            channel_free_at: START,
+            sent_at: BTreeMap::new(),
+            withdrawn_at: BTreeMap::new(),
+            most_messages: 0,
+            most_queued_lines: 0.0,
+        };
+        world.event(RelayEvent::Started);
+        world.event(RelayEvent::Heartbeat);
+        for proxy in 0..figures.proxies {
+            world.event(RelayEvent::Hello {
+                proxy,
+                zone: 0,
+                visits_per_s: 20.0,
+                fresh: true,
+            });
+            world.advance(20.0);
+        }
+        world.advance(12_000.0);
+        assert_eq!(world.bound.len(), figures.proxies, "all are bound");
+        world
+    }
+
+    fn event(&mut self, event: RelayEvent) {
+        self.step(vec![Input::RelayEvent { follower: 0, event }]);
+    }
+
+    /// Lists a change of some servers.
+    fn list(&mut self, names: &[String], admin_state: AdminState, started_at_ms: f64) {
+        self.index += 1;
+        let endpoints = names.iter();
+        let list = EndpointList {
+            index: self.index,
+            is_snapshot: false,
+            endpoints: endpoints
+                .map(|name| endpoint(name, admin_state, started_at_ms))
+                .collect(),
+            rejected: Vec::new(),
+        };
+        self.step(vec![Input::EndpointList { watch: 0, list }]);
+    }
+
+    fn step(&mut self, inputs: Vec<Input>) {
+        let Effects { call, wake_at, .. } = self.core.step(self.now, inputs);
+        self.wake_at = wake_at;
+        let Some(call) = call else { return };
+        assert!(self.call.is_none(), "one call at a time");
+        let accepted = self.execute(call.text.trim_start_matches("txn ").trim_end());
+        let outcome = if self.now < self.replies_lost_until {
+            CallOutcome::Unknown
+        } else {
+            CallOutcome::Replied(Reply::Accepted(accepted))
+        };
+        self.call = Some((self.now + REPLY_MS, call.number, outcome));
+    }
+
+    /// Lets time pass: calls end, messages arrive and are acknowledged, and the core is woken.
+    fn advance(&mut self, ms: f64) {
+        let end = self.now + ms;
+        loop {
+            let arrivals = self.messages.iter().map(|m| m.arrives_at);
+            let call_end = self.call.map(|(at, _, _)| at);
+            let times = arrivals.chain(call_end).chain(self.wake_at);
+            let next = times.fold(f64::INFINITY, f64::min);
+            if next > end {
+                break;
+            }
+            self.now = self.now.max(next);
+            let mut inputs = Vec::new();
+            if let Some((_, number, outcome)) = self.call.take_if(|(at, _, _)| *at <= next) {
+                inputs.push(Input::CallEnded { number, outcome });
+            }
+            inputs.extend(self.arrived(next));
+            self.step(inputs);
+        }
+        self.now = end;
+    }
+
+    /// Takes the messages that have arrived, and returns their acknowledgements.
+    fn arrived(&mut self, now: f64) -> Vec<Input> {
+        let (arrived, under_way) = std::mem::take(&mut self.messages)
+            .into_iter()
+            .partition(|m| m.arrives_at <= now);
+        self.messages = under_way;
+        let arrived: Vec<Message> = arrived;
+        let mut inputs = Vec::new();
+        for message in arrived {
+            for server in message.withdrawn {
+                let at = self.withdrawn_at.entry(server).or_insert(now);
+                *at = at.max(now);
+            }
+            inputs.extend(message.mark.map(|mark| Input::RelayEvent {
+                follower: 0,
+                event: RelayEvent::Ack {
+                    proxy: message.proxy,
+                    mark,
+                },
+            }));
+        }
+        inputs
+    }
+
+    /// Carries out a call: one message for each proxy concerned. Returns the number of commands.
+    fn execute(&mut self, text: &str) -> usize {
+        let mut lines: BTreeMap<usize, f64> = BTreeMap::new();
+        let mut withdrawn: BTreeMap<usize, Vec<String>> = BTreeMap::new();
+        let mut mark = None;
+        for command in text.split(';') {
+            match command.split(',').collect::<Vec<_>>()[..] {
+                ["share", table, server, weight] => {
+                    let servers = self.tables.entry(table.into()).or_default();
+                    if weight == "0" {
+                        servers.remove(server);
+                    } else {
+                        servers.insert(server.into());
+                    }
+                    self.add_lines(&mut lines, |t| t == table);
+                }
+                ["admit", table, ..] => self.add_lines(&mut lines, |t| t == table),
+                ["withdraw" | "restore", server] => {
+                    let tables = self.tables.clone();
+                    let holds = |t: &str| tables.get(t).is_some_and(|t| t.contains(server));
+                    self.add_lines(&mut lines, holds);
+                    let holders = self.bound.iter().filter(|(_, table)| holds(table));
+                    for (proxy, _) in holders.filter(|_| command.starts_with("withdraw")) {
+                        withdrawn.entry(*proxy).or_default().push(server.into());
+                    }
+                }
+                ["bind", proxy, table, _] => {
+                    let proxy = proxy.parse().unwrap();
+                    self.bound.insert(proxy, table.into());
+                    let table_lines = self.tables.get(table).map_or(0, BTreeSet::len);
+                    *lines.entry(proxy).or_default() += 2.0 + table_lines as f64;
+                }
+                ["mark", number, _] => mark = Some(number.parse().unwrap()),
+                _ => panic!("no such command: {command}"),
+            }
+        }
+        for (proxy, lines) in lines {
+            let withdrawn = withdrawn.remove(&proxy).unwrap_or_default();
+            self.send(proxy, lines, mark, withdrawn);
+        }
+        self.check_limits();
+        text.split(';').count()
+    }
+
+    /// Adds a line for each proxy whose table passes.
+    fn add_lines(&self, lines: &mut BTreeMap<usize, f64>, passes: impl Fn(&str) -> bool) {
+        for (proxy, _) in self.bound.iter().filter(|(_, table)| passes(table)) {
+            *lines.entry(*proxy).or_default() += 1.0;
+        }
+    }
+
+    fn send(&mut self, proxy: usize, lines: f64, mark: Option<u32>, withdrawn: Vec<String>) {
+        let lines = lines + self.figures.message_overhead_lines + f64::from(mark.is_some());
+        let begins_at = self.channel_free_at.max(self.now);
+        self.channel_free_at = begins_at + lines / self.figures.lines_per_s * 1000.0;
+        self.sent_at.entry(proxy).or_default().push(self.now);
+        self.messages.push(Message {
+            proxy,
+            leaves_at: self.channel_free_at,
+            arrives_at: self.channel_free_at + self.figures.latency_ms,
+            lines,
+            mark,
+            withdrawn,
+        });
+    }
+
+    fn check_limits(&mut self) {
+        let queued = self.messages.iter().filter(|m| m.leaves_at > self.now);
+        let queued_lines: f64 = queued.map(|m| m.lines).sum();
+        self.most_queued_lines = self.most_queued_lines.max(queued_lines);
+        let recent = |at: &&f64| self.now - **at < MESSAGE_WINDOW_MS;
+        let counts = self.sent_at.values();
+        let most = counts.map(|sent| sent.iter().filter(recent).count()).max();
+        self.most_messages = self.most_messages.max(most.unwrap_or(0));
+    }
+}
+
+/// A small deployment with a limit on messages.
+const WITH_MESSAGE_LIMIT: Figures = Figures {
+    proxies: 6,
+    servers: 12,
+    lines_per_s: 15_000.0,
+    max_queued_lines: 22_500.0,
+    message_overhead_lines: 3.0,
+    latency_ms: 200.0,
+    max_messages: 30,
+};
+
+/// Guards against calls of unknown outcome that are sent again until their mark is acknowledged, uncounted:
+/// each of them is a message to every proxy, and the limit on messages was exceeded.
+#[test]
+fn calls_sent_again_stay_within_the_limit_on_messages() {
+    let mut world = World::new(WITH_MESSAGE_LIMIT);
+    world.replies_lost_until = world.now + 8000.0;
+    for server in 0..7 {
+        world.list(&[format!("s-{server}")], AdminState::Draining, 0.0);
+        world.advance(1200.0);
+    }
+    world.advance(8000.0);
+    assert_eq!(world.withdrawn_at.len(), 7, "every drain has arrived");
+    assert!(world.most_messages <= 30, "{}", world.most_messages);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -180,3 +180,10 @@
     /// Messages for the operators' log.
     pub notes: Vec<String>,
 }
+
+impl Orders {
+    /// Whether they consist of servers to shut out or to allow again, and nothing else is sent to proxies.
+    pub(crate) fn are_withdrawals_only(&self) -> bool {
+        self.lines.is_empty() && self.levels.is_empty() && self.bindings.is_empty()
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,6 +11,8 @@
 //! servers; recovery; admission levels and retries; weights and bindings; probes last, as they cost
 //! work.
 
+mod budget;
+
 use crate::overload::OverloadForecast;
 use crate::state::{
     self, Bucket, Channel, DerivedSettings, FleetQuantile, FleetStats, Part, Proxy, ReportTotals,
@@ -756,7 +758,7 @@
         let Some((i, part)) = found.and_then(|(i, p)| Some((*i, least_loaded(p)?))) else {
             return false;
         };
-        let lines = self.part_lines(part) + self.settings.message_overhead_lines;
+        let lines = self.binding_lines(part);
         let is_bound = self.orders.bindings.iter().any(|(proxy, _)| *proxy == i);
         if is_bound || !self.fits_queue(QUEUE_SHARE, lines) {
             return false;
@@ -834,15 +836,10 @@
         servers.peek().is_some() && !servers.any(|s| s.published_weight > 0.0)
     }
 
-    /// Withdraws a server or allows it again, if its lines fit into a share of the queue. Proxies that
-    /// are not bound yet hold a few servers of their own, this one perhaps, and get a share of the cost.
+    /// Withdraws a server or allows it again, if its lines fit into a share of the queue.
     fn set_withdrawn(&mut self, s: usize, withdrawn: bool, queue_share: f64) -> bool {
         let part = self.servers[s].part;
-        let unbound = self.proxies.values().filter(|p| p.part.is_none());
-        let unbound = unbound.count() as f64;
-        let held_share = self.settings.initial_servers / self.servers.len() as f64;
-        let message_lines = 1.0 + self.settings.message_overhead_lines;
-        let unbound_lines = unbound * held_share.min(1.0) * message_lines;
+        let unbound_lines = self.unbound_withdrawal_lines();
         if !self.fits_queue(queue_share, unbound_lines + self.channel.cost(part, 1.0)) {
             return false;
         }
@@ -1153,36 +1150,6 @@
         self.settings.bucket_ms * ((self.fleet.recent_buckets - 1) as f64 + filled)
     }
 
-    /// Number of lines that a binding to a part sends: weights, withdrawals and levels.
-    fn part_lines(&self, part: usize) -> f64 {
-        let servers = self.servers.iter().filter(|s| s.part == Some(part));
-        let lines = servers.filter(|s| s.published_weight > 0.0 || s.withdrawn);
-        (lines.count() + self.ordered_levels.len()) as f64
-    }
-
-    /// Whether more lines fit into a share of the channel's queue. All lines that no proxy has
-    /// acknowledged may still be queued, except those that can be in flight. Ordinary lines leave room
-    /// for urgent ones, even in case nothing is in flight.
-    fn fits_queue(&self, share: f64, more: f64) -> bool {
-        let unacknowledged = self.channel.queued_lines;
-        let lines = unacknowledged + self.channel.added_lines + more;
-        let queued = lines - self.settings.max_in_flight_lines.min(unacknowledged);
-        queued.max(lines * share / share.max(URGENT_QUEUE_SHARE))
-            <= self.settings.max_queued_lines * share
-    }
-
-    /// Most messages that any proxy of a server's part was sent recently.
-    fn messages_of_part(&self, s: &Server) -> f64 {
-        s.part
-            .map_or(0.0, |part| self.channel.max_messages(Some(part)))
-    }
-
-    /// Whether a proxy that was sent this many messages recently may be sent another one, within a share
-    /// of its limit. For a part, the proxy with the most messages counts; other parts don't wait for it.
-    fn may_send(&self, share: f64, recent_messages: f64) -> bool {
-        recent_messages < (self.settings.max_messages - 1.0) * share
-    }
-
     /// The status of each server, by index, for logs.
     pub fn server_statuses(&self) -> impl Iterator<Item = ServerStatus> + '_ {
         self.servers.iter().map(|s| ServerStatus {
@@ -1201,7 +1168,7 @@
     pub fn decide(&mut self, now: f64) -> Orders {
         self.now = now;
         self.update_fleet_stats();
-        self.channel.begin_message(now, &self.proxies);
+        self.channel.begin_message(now, &mut self.proxies);
         while RULES.iter().any(|rule| rule(self)) {}
         self.orders.mark = self.channel.finish_message(now, &mut self.proxies);
         if self.wake_at <= now || self.next_tick < self.wake_at {
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,6 +6,9 @@
 /// Time buckets kept of the reports; the oldest is reused.
 const BUCKETS_KEPT: usize = 16;
 
+/// Number of different marks; they are used in turn.
+const MARKS: u64 = 65_536;
+
 /// Totals of the tries in one time bucket, or in several.
 #[derive(Clone, Copy, Default)]
 pub struct Bucket {
@@ -248,6 +251,18 @@
     lines: f64,
 }
 
+impl SentMessage {
+    /// The mark that the proxy acknowledges it by.
+    fn mark(&self) -> u32 {
+        mark_of(self.number)
+    }
+}
+
+/// The mark of the message with a number.
+fn mark_of(number: u64) -> u32 {
+    (number % MARKS) as u32
+}
+
 impl Proxy {
     /// A proxy without messages; its visits are taken to be spread evenly over the classes.
     pub fn new(zone: usize, visit_rate: f64, classes: usize) -> Proxy {
@@ -277,11 +292,16 @@
         self.message_times.push_back(now);
     }
 
+    /// Drops the message with this mark from the unacknowledged ones.
+    pub fn forget_message(&mut self, mark: u32) {
+        self.unacknowledged.retain(|m| m.mark() != mark);
+    }
+
     /// Drops the message with this mark and all before it from the unacknowledged ones. Returns the
     /// full number of the message.
     pub fn acknowledge(&mut self, mark: u32) -> Option<u64> {
         let mut messages = self.unacknowledged.iter();
-        let at = messages.position(|m| m.number as u32 % 65536 == mark)?;
+        let at = messages.position(|m| m.mark() == mark)?;
         self.unacknowledged
             .drain(..=at)
             .next_back()
@@ -432,14 +452,15 @@
     }
 
     /// Begins a message: counts what is queued, and what each part's proxies were sent.
-    pub fn begin_message(&mut self, now: f64, proxies: &BTreeMap<usize, Proxy>) {
+    pub fn begin_message(&mut self, now: f64, proxies: &mut BTreeMap<usize, Proxy>) {
         self.queued_lines = 0.0;
         self.added_lines = 0.0;
         self.added_singly = 0.0;
         for part in &mut self.parts {
             *part = Part::new(part.zone);
         }
-        for p in proxies.values() {
+        for p in proxies.values_mut() {
+            p.binding_lines = 0.0;
             self.queued_lines += p.queued_lines(self.acknowledged);
             if let Some(part) = p.part.map(|part| &mut self.parts[part]) {
                 part.bound_proxies += 1.0;
@@ -449,6 +470,34 @@
         }
     }
 
+    /// Lines of the current message for one proxy, the fixed cost included; 0 if it gets no message.
+    fn lines_of(&self, proxy: &Proxy, unbound_lines: f64) -> f64 {
+        match proxy.part.map(|part| self.parts[part].added_lines) {
+            Some(part_lines) if part_lines > 0.0 => {
+                part_lines + self.message_overhead_lines + proxy.binding_lines
+            }
+            Some(_) => proxy.binding_lines,
+            None => unbound_lines,
+        }
+    }
+
+    /// Lines of the current message for each proxy that is not bound.
+    fn lines_of_unbound(&self, proxies: &BTreeMap<usize, Proxy>) -> f64 {
+        let unbound = proxies.values().filter(|p| p.part.is_none()).count();
+        let binding_lines: f64 = proxies.values().map(|p| p.binding_lines).sum();
+        (self.added_singly - binding_lines).max(0.0) / unbound.max(1) as f64
+    }
+
+    /// Most messages that any proxy that gets the current message was sent recently.
+    pub fn most_messages_of_concerned(&self, now: f64, proxies: &BTreeMap<usize, Proxy>) -> f64 {
+        let unbound_lines = self.lines_of_unbound(proxies);
+        let concerned = proxies
+            .values()
+            .filter(|p| self.lines_of(p, unbound_lines) > 0.0);
+        let messages = concerned.map(|p| p.recent_messages(now, self.message_window_ms));
+        messages.fold(0.0, f64::max)
+    }
+
     /// Ends the message and records it for each proxy that gets lines. Returns its mark, unless it is
     /// empty.
     pub fn finish_message(
@@ -460,23 +509,14 @@
             return None;
         }
         self.last_message += 1;
-        let unbound = proxies.values().filter(|p| p.part.is_none()).count();
-        let binding_lines: f64 = proxies.values().map(|p| p.binding_lines).sum();
-        let unbound_lines = (self.added_singly - binding_lines).max(0.0) / unbound.max(1) as f64;
+        let unbound_lines = self.lines_of_unbound(proxies);
         for p in proxies.values_mut() {
-            let lines = match p.part.map(|part| self.parts[part].added_lines) {
-                Some(part_lines) if part_lines > 0.0 => {
-                    part_lines + self.message_overhead_lines + p.binding_lines
-                }
-                Some(_) => p.binding_lines,
-                None => unbound_lines,
-            };
+            let lines = self.lines_of(p, unbound_lines);
             if lines > 0.0 {
                 p.message_sent(now, self.message_window_ms, self.last_message, lines);
             }
-            p.binding_lines = 0.0;
         }
-        Some((self.last_message % 65536) as u32)
+        Some(mark_of(self.last_message))
     }
 }
 
