--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -337,7 +337,11 @@
             if is_gone && self.slots.find(&endpoint.name).is_none() {
                 continue;
             }
-            let server = self.slots.upsert(endpoint, now);
+            let listed = self.slots.upsert(endpoint, now);
+            let server = listed.index;
+            if listed.may_have_returned {
+                self.planner.index_reassigned(server);
+            }
             roster.push(RosterEntry {
                 server,
                 zone: endpoint.zone,
--- a/crates/platform/src/slots.rs
+++ b/crates/platform/src/slots.rs
@@ -3,6 +3,9 @@
 //! An index is reused for another server once nothing refers to it: the old server has been gone and
 //! without weight for [`INDEX_REUSE_DELAY_MS`], no probe of it is pending, and no queued command names
 //! it. It is reused only in the same zone, because the planner assigned it to a part of that zone.
+//!
+//! Once an index was released, its former name is forgotten here, but the relay still knows that it is
+//! withdrawn. Any name that gets an index from then on may be such a name.
 
 use crate::discovery::Endpoint;
 use dahliapoint::AdminState;
@@ -44,6 +47,16 @@
     by_name: HashMap<String, usize>,
     /// Indices free for reuse, by zone.
     free: BTreeMap<usize, Vec<usize>>,
+    /// Whether a name was ever forgotten.
+    has_forgotten_names: bool,
+}
+
+/// The index of a listed server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ListedServer {
+    pub index: usize,
+    /// The server has just got its index, and may have had another one before.
+    pub may_have_returned: bool,
 }
 
 impl ServerSlots {
@@ -52,12 +65,10 @@
         self.by_name.get(name).copied()
     }
 
-    /// Stores the listed state of a server, under a new index if it has none, and returns the index.
-    pub fn upsert(&mut self, endpoint: &Endpoint, now: f64) -> usize {
-        let index = match self.by_name.get(&endpoint.name) {
-            Some(index) => *index,
-            None => self.allocate(endpoint),
-        };
+    /// Stores the listed state of a server, under a new index if it has none.
+    pub fn upsert(&mut self, endpoint: &Endpoint, now: f64) -> ListedServer {
+        let known = self.find(&endpoint.name);
+        let index = known.unwrap_or_else(|| self.allocate(endpoint));
         let slot = &mut self.all[index];
         slot.address = endpoint.address.or(slot.address);
         slot.zone = endpoint.zone;
@@ -70,7 +81,10 @@
                 (endpoint.started_at_ms > 0.0).then(|| endpoint.started_at_ms.min(now));
         }
         slot.update_idle(now);
-        index
+        ListedServer {
+            index,
+            may_have_returned: known.is_none() && self.has_forgotten_names,
+        }
     }
 
     /// Assigns an index to a new server, a free one of its zone if there is one.
@@ -135,6 +149,7 @@
                 released += 1;
             }
         }
+        self.has_forgotten_names |= released > 0;
         released
     }
 }
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -403,6 +403,39 @@
     }
 }
 
+/// Guards against a server that returns under its name after its index went to another one, and stays shut
+/// out by the withdrawal that the relay still knows.
+#[test]
+fn a_server_that_returns_after_its_index_was_reused_is_allowed_again() {
+    for (returns_as, command) in [
+        (AdminState::Ready, "restore,s-1"),
+        // First seen while it drains, it is shut out as any other.
+        (AdminState::Draining, "withdraw,s-1"),
+    ] {
+        for successors in [0, 1, 2] {
+            let mut harness = Harness::new();
+            harness.events(0, vec![hello(3)]);
+            let gone = vec![endpoint("s-1", AdminState::Gone, 0.0)];
+            harness.run(vec![list_input(6, false, gone)]);
+            harness.advance(INDEX_REUSE_DELAY_MS + 3000.0);
+            let names = (0..successors).map(|i| format!("t-{i}"));
+            let fresh = names.map(|n| endpoint(&n, AdminState::Ready, harness.now));
+            let fresh: Vec<Endpoint> = fresh.collect();
+            harness.run(vec![list_input(7, false, fresh)]);
+            harness.advance(5000.0);
+            let before = harness.count(command);
+            let returned = endpoint("s-1", returns_as, harness.now);
+            harness.run(vec![list_input(8, false, vec![returned])]);
+            harness.advance(20_000.0);
+            let case = format!("{returns_as:?}, {successors} others came");
+            assert_eq!(harness.count(command), before + 1, "{case}");
+            let lines = harness.commands_starting_with("share,0,s-1,");
+            let has_line = lines.last().is_some_and(|line| !line.ends_with(",0"));
+            assert_eq!(has_line, returns_as == AdminState::Ready, "{case}");
+        }
+    }
+}
+
 #[test]
 fn a_repeated_list_restarts_no_ramp() {
     let up = |n, since| endpoint(n, AdminState::Ready, since);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -146,7 +146,7 @@
     pub published_weight: f64,
     /// Factor on its listed weight: 1 if it works well, 0 if it is ejected.
     pub health: f64,
-    /// It is shut out of all tables.
+    /// It is shut out of all tables, or may be.
     pub withdrawn: bool,
     /// It may not have warmed up since its last start.
     pub cold: bool,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -16,7 +16,7 @@
 use crate::overload::OverloadForecast;
 use crate::state::{
     self, Bucket, Channel, DerivedSettings, FleetQuantile, FleetStats, Part, Proxy, ReportTotals,
-    Rng, Server, ZoneStats,
+    Rng, Server, Withdrawal, ZoneStats,
 };
 use crate::{
     AdminState, Admission, Orders, PlannerSettings, RetryPolicy, RosterEntry, RosterUpdate,
@@ -337,6 +337,16 @@
         server.listed = true;
     }
 
+    /// An index stands for another server from now on. An earlier server of its name may have been withdrawn.
+    pub fn index_reassigned(&mut self, server: usize) {
+        let zones = self.unreachable.len();
+        while self.servers.len() <= server {
+            self.servers.push(Server::unknown(zones));
+        }
+        let part = self.servers[server].part;
+        self.servers[server] = Server::reassigned(zones, part);
+    }
+
     /// The source of the roster was lost; the roster is requested again after a tick.
     pub fn roster_lost(&mut self, now: f64) {
         self.request_roster_at = now + TICK_MS;
@@ -469,16 +479,16 @@
         if expects_weight && no_weight {
             return false;
         }
-        let due = |s: &Server| s.listed && !s.is_ready() && !s.withdrawn;
+        let due = |s: &Server| s.listed && !s.is_ready() && !s.is_withdrawn();
         let found = self.find_server(|s| due(s) && self.may_send(1.0, self.messages_of_part(s)));
         found.is_some_and(|s| self.set_withdrawn(s, true, 1.0))
     }
 
-    /// Allows a withdrawn server that is ready again.
+    /// Allows a server that is ready again and is withdrawn, or may be.
     fn allow_ready_server(&mut self) -> bool {
         // A cold server must have a low weight first.
         let is_low = |s: &Server| s.published_weight <= s.weight * self.capacity_share(s);
-        let due = |s: &Server| s.is_ready() && s.withdrawn && (!s.cold || is_low(s));
+        let due = |s: &Server| s.is_ready() && s.may_be_withdrawn() && (!s.cold || is_low(s));
         let found =
             self.find_server(|s| due(s) && self.may_send(MESSAGE_SHARE, self.messages_of_part(s)));
         found.is_some_and(|s| self.set_withdrawn(s, false, URGENT_QUEUE_SHARE))
@@ -666,7 +676,7 @@
         let is_empty: Vec<_> = parts.map(|part| self.part_is_empty(part)).collect();
         let is_due = |t: &TargetWeight| {
             let server = &self.servers[t.server];
-            let shut_out = server.withdrawn && !server.is_ready();
+            let shut_out = server.is_withdrawn() && !server.is_ready();
             let drops = t.weight < published(t) * URGENT_DROP_SHARE && !shut_out;
             let urgent = is_empty[t.part] || keeps_weight[t.part] && drops;
             let differs = (t.weight - published(t)).abs() > WEIGHT_TOLERANCE * published(t);
@@ -820,7 +830,8 @@
     /// By zone: proxies are not bound to its servers. These are the unreachable zones, unless no other zone
     /// has a server with a published weight: a server that may not answer is better than none.
     fn excluded_zones(&self) -> Vec<bool> {
-        let is_open = |s: &Server| s.is_ready() && !s.withdrawn && s.published_weight > 0.0;
+        let is_open =
+            |s: &Server| s.is_ready() && !s.may_be_withdrawn() && s.published_weight > 0.0;
         let is_reachable = |s: &Server| is_open(s) && !self.unreachable[s.zone];
         if self.find_server(is_reachable).is_some() {
             self.unreachable.clone()
@@ -844,7 +855,11 @@
             return false;
         }
         self.channel.add(part, 1.0, unbound_lines);
-        self.servers[s].withdrawn = withdrawn;
+        self.servers[s].withdrawal = if withdrawn {
+            Withdrawal::Ordered
+        } else {
+            Withdrawal::Absent
+        };
         self.orders.withdrawals.push((s, withdrawn));
         true
     }
@@ -1155,7 +1170,7 @@
         self.servers.iter().map(|s| ServerStatus {
             published_weight: s.published_weight,
             health: s.health,
-            withdrawn: s.withdrawn,
+            withdrawn: s.may_be_withdrawn(),
             cold: s.cold,
             tries: s.recent.tries,
             failed: s.recent.failed,
--- a/src/rules/budget.rs
+++ b/src/rules/budget.rs
@@ -63,7 +63,7 @@
     /// Number of lines that a binding to a part sends: weights, withdrawals and levels, and the fixed cost.
     pub(super) fn binding_lines(&self, part: usize) -> f64 {
         let servers = self.servers.iter().filter(|s| s.part == Some(part));
-        let lines = servers.filter(|s| s.published_weight > 0.0 || s.withdrawn);
+        let lines = servers.filter(|s| s.published_weight > 0.0 || s.may_be_withdrawn());
         (lines.count() + self.ordered_levels.len()) as f64 + self.settings.message_overhead_lines
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -98,6 +98,17 @@
     }
 }
 
+/// Whether a server is shut out of all tables.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Withdrawal {
+    /// It is not.
+    Absent,
+    /// It is, by the last order.
+    Ordered,
+    /// Its name may have been withdrawn before it got its index.
+    Unknown,
+}
+
 /// A server: its admin state, health, published weight and statistics.
 pub struct Server {
     /// It has been in a roster.
@@ -111,8 +122,8 @@
     pub ramp_started_at: f64,
     /// The part of the shared table that it is in.
     pub part: Option<usize>,
-    /// It is shut out of all tables.
-    pub withdrawn: bool,
+    /// Whether it is shut out of all tables.
+    pub withdrawal: Withdrawal,
     /// It may not have warmed up since its last start.
     pub cold: bool,
     /// Factor on its weight: 1 if it works well, less if it was slow, 0 if it is ejected.
@@ -148,7 +159,7 @@
             started_at: None,
             ramp_started_at: f64::NEG_INFINITY,
             part: None,
-            withdrawn: false,
+            withdrawal: Withdrawal::Absent,
             cold: false,
             health: 1.0,
             health_changed_at: f64::NEG_INFINITY,
@@ -163,6 +174,26 @@
         }
     }
 
+    /// A server that takes over an index and the part of an earlier one. Whether its name is withdrawn since
+    /// an earlier time is not known.
+    pub fn reassigned(zones: usize, part: Option<usize>) -> Server {
+        Server {
+            part,
+            withdrawal: Withdrawal::Unknown,
+            ..Server::unknown(zones)
+        }
+    }
+
+    /// Whether it may be shut out of all tables.
+    pub fn may_be_withdrawn(&self) -> bool {
+        self.withdrawal != Withdrawal::Absent
+    }
+
+    /// Whether it is certainly shut out of all tables.
+    pub fn is_withdrawn(&self) -> bool {
+        self.withdrawal == Withdrawal::Ordered
+    }
+
     /// Whether its admin state is ready.
     pub fn is_ready(&self) -> bool {
         self.admin_state == AdminState::Ready
@@ -442,7 +473,8 @@
                 loads[part].visit_rate += p.visit_rate;
             }
         }
-        let is_open = |s: &&Server| s.is_ready() && !s.withdrawn && !excluded_zones[s.zone];
+        let is_open =
+            |s: &&Server| s.is_ready() && !s.may_be_withdrawn() && !excluded_zones[s.zone];
         for s in servers.iter().filter(is_open) {
             if let Some(part) = s.part {
                 loads[part].weight += s.published_weight;
