--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -11,9 +11,8 @@
 use crate::relay::{NameLookup, RelayEvent};
 use crate::slots::ServerSlots;
 use dahliapoint::rules::Planner;
-use dahliapoint::{AdminState, Orders, RosterEntry, RosterUpdate, TryStats};
+use dahliapoint::{AdminState, RosterEntry, RosterUpdate, TryStats};
 use dahliapoint_opening::Deployment;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// Bound on how far discovery's lists lag behind (PROTOCOL, "Figures").
@@ -107,8 +106,6 @@
     slots: ServerSlots,
     membership: Membership,
     delivery: Delivery,
-    /// The table that each joined proxy is bound to.
-    bound_tables: BTreeMap<usize, usize>,
     /// Version of the newest list.
     index: u64,
     /// Lists of watches before this one are ignored, because discovery has restarted its versions since.
@@ -134,7 +131,6 @@
                 settings.max_queued_lines,
                 settings.lines_per_ms,
             ),
-            bound_tables: BTreeMap::new(),
             index: known.index,
             first_watch: 0,
             lower_lists: None,
@@ -404,7 +400,6 @@
                 }
                 MembershipChange::Left { proxy } => {
                     self.planner.proxy_left(*proxy);
-                    self.bound_tables.remove(proxy);
                 }
             }
         }
@@ -417,7 +412,6 @@
             if self.membership.is_joined(proxy) && self.membership.epoch(proxy) == epoch {
                 self.membership.renew_epoch(proxy);
                 self.planner.binding_lost(proxy);
-                self.bound_tables.remove(&proxy);
             }
         }
     }
@@ -491,10 +485,8 @@
         let epochs = bound.map(|proxy| (proxy, self.membership.epoch(proxy)));
         let epochs = epochs.collect();
         let mark = orders.mark;
-        let cost_lines = self.cost_lines(&orders);
-        self.bound_tables.extend(orders.bindings.iter().copied());
         let commands = into_commands(orders);
-        self.delivery.enqueue(commands, epochs, mark, cost_lines);
+        self.delivery.enqueue(commands, epochs, mark);
     }
 
     /// Replaces the index in a planner's note (`server 3 ...`, `zone 0 ...`) by the name.
@@ -511,33 +503,4 @@
         });
         name.map_or_else(|| note.to_string(), |name| format!("{kind} {name} {rest}"))
     }
-
-    /// Returns the lines that a decision costs in the channel: each proxy concerned gets one message,
-    /// which consists of a fixed overhead and its lines.
-    fn cost_lines(&self, orders: &Orders) -> f64 {
-        let overhead = self.deployment.planner_settings.message_overhead_lines + 1.0;
-        let mut lines_by_table: BTreeMap<usize, f64> = BTreeMap::new();
-        let lines = orders.lines.iter().map(|line| line.0);
-        for table in lines.chain(orders.levels.iter().map(|level| level.0)) {
-            *lines_by_table.entry(table).or_default() += 1.0;
-        }
-        let mut lines_for_all = 0.0;
-        for (server, _) in &orders.withdrawals {
-            match self.slots.all[*server].table {
-                Some(table) => *lines_by_table.entry(table).or_default() += 1.0,
-                None => lines_for_all += 1.0,
-            }
-        }
-        let updates = self.bound_tables.values().map(|table| {
-            let lines = lines_by_table.get(table).unwrap_or(&0.0) + lines_for_all;
-            if lines > 0.0 { lines + overhead } else { 0.0 }
-        });
-        let full_table = |table: usize| {
-            let slots = self.slots.all.iter();
-            let servers = slots.filter(|slot| slot.table == Some(table)).count();
-            servers as f64 + self.deployment.classes.len() as f64 + overhead
-        };
-        let bindings = orders.bindings.iter().map(|(_, table)| full_table(*table));
-        updates.chain(bindings).sum()
-    }
 }
--- a/crates/platform/src/delivery.rs
+++ b/crates/platform/src/delivery.rs
@@ -12,17 +12,15 @@
 //!    once.
 //! 4. **Turned away** (`too_many_calls`): sent again after a delay; nothing is lost.
 //! 5. **Not sent**: the call did not leave completely: sent again, with delays that grow to a bound.
-//! 6. **Unconfirmed** (no reply, a connection lost after the last byte, an unreadable reply): a call of
-//!    few lines is sent again unchanged at once, while all lines resent this way recently stay a small
-//!    share of what may wait in the channel, and if the limit on messages to a proxy allows it. This keeps
-//!    tables from lagging behind their decision. If the outcome is unknown again, the call is set aside,
-//!    and sent again on the same conditions whenever an acknowledgement should have arrived.
-//! 7. Of an unconfirmed call of more lines, withdrawals and restores are sent again at once, ahead of
-//!    everything else: they are short, and drains must not be delayed. The rest is set aside until its
-//!    mark is acknowledged, which shows that it was carried out; later calls go on meanwhile. Without
-//!    an acknowledgement in time it was not carried out and nothing of it waits in the channel:
-//!    weights and levels are sent again, bindings are returned to the planner, which paces them.
-//!    Withdrawals are resent at once the first time, and after growing delays from then on.
+//! 6. **Unconfirmed** (no reply, a connection lost after the last byte, an unreadable reply): the call is
+//!    sent again at once, one time, if the limits of the channel have room for it. This keeps tables from
+//!    lagging behind their decision. If they have none, its withdrawals and restores are sent again by
+//!    themselves, ahead of everything else, as long as these fit: drains must not be delayed.
+//! 7. What is not sent again at once, and what is unconfirmed a second time, is set aside until a mark of
+//!    it is acknowledged, which shows that it was carried out; later calls go on meanwhile. It is sent
+//!    again whenever an acknowledgement should have arrived and the limits have room. Without an
+//!    acknowledgement in time it was not carried out and nothing of it waits in the channel: bindings are
+//!    returned to the planner, which paces them, and the rest is sent again once the limits have room.
 //! 8. **Refused** (`bad_request`): sent once more, then dropped and logged.
 //! 9. **Relay out of reach for long**: the queue is reduced to commands that no later one overrides.
 //! 10. **Acknowledged**: the acknowledgement of a mark that was sent shows that its call was carried
@@ -52,9 +50,6 @@
 const RESEND_LATENCIES: f64 = 2.0;
 /// Fixed part of the time allowed for an acknowledgement.
 const ACK_MARGIN_MS: f64 = 300.0;
-/// Share of the channel's capacity that may be resent at once (rule 6) within the time that a full
-/// channel takes to empty. The planner always leaves more than this free.
-const RESEND_SHARE: f64 = 0.2;
 /// Number of queued decisions above which superseded commands are removed (rule 9).
 const MAX_QUEUED_DECISIONS: usize = 64;
 
@@ -122,16 +117,8 @@
     not_before: f64,
     /// Time allowed for an acknowledgement.
     ack_timeout_ms: f64,
-    /// Time after which an unconfirmed call of few lines is sent again.
+    /// Time after which an unconfirmed call is sent again.
     resend_interval_ms: f64,
-    /// Lines resent recently by rule 6; they decay with time.
-    resent_lines: f64,
-    /// When that number was last updated (ms).
-    resent_updated_at: f64,
-    /// Capacity of the channel's queue, in lines.
-    max_queued_lines: f64,
-    /// Rate at which the channel sends lines.
-    lines_per_ms: f64,
 }
 
 impl Delivery {
@@ -147,22 +134,12 @@
             not_before: f64::NEG_INFINITY,
             ack_timeout_ms: message_latency_ms * ACK_LATENCIES + backlog_ms / 2.0 + ACK_MARGIN_MS,
             resend_interval_ms: (message_latency_ms * RESEND_LATENCIES).max(MAX_RETRY_DELAY_MS),
-            resent_lines: 0.0,
-            resent_updated_at: f64::NEG_INFINITY,
-            max_queued_lines,
-            lines_per_ms,
         }
     }
 
     /// Queues the commands of a decision. `epochs` are the proxies and epochs of its bindings, in their
-    /// order; `cost_lines` is what it costs in the channel.
-    pub fn enqueue(
-        &mut self,
-        commands: Vec<Command>,
-        epochs: Vec<ProxyEpoch>,
-        mark: Option<u32>,
-        cost_lines: f64,
-    ) {
+    /// order.
+    pub fn enqueue(&mut self, commands: Vec<Command>, epochs: Vec<ProxyEpoch>, mark: Option<u32>) {
         if commands.is_empty() {
             return;
         }
@@ -172,7 +149,6 @@
             mark,
             sent_marks: Vec::new(),
             acknowledged: false,
-            cost_lines,
             attempts: 0,
             is_resent: false,
             refused: false,
@@ -320,8 +296,7 @@
         self.queue.push_front(first);
     }
 
-    /// Rules 6 and 7: resends what was not acknowledged in time. What counts as not carried out returns its
-    /// bindings.
+    /// Rule 7: resends what was not acknowledged in time. What counts as not carried out returns its bindings.
     fn resend_unconfirmed(
         &mut self,
         now: f64,
@@ -337,26 +312,21 @@
             .partition(is_due);
         self.unconfirmed = kept;
         for mut pending in due.into_iter().rev() {
-            let has_expired = pending.expires_at <= now;
-            if has_expired {
+            if pending.expires_at <= now {
+                pending.expires_at = f64::INFINITY;
                 pending.batch.is_not_carried_out(budget, feedback);
             }
             if pending.batch.commands.is_empty() {
                 continue;
             }
-            let has_room = has_expired || self.is_cheap(now, &pending.batch);
-            if !has_room || !budget.may_resend(now, &pending.batch.commands) {
-                pending.resend_at = now + MAX_RETRY_DELAY_MS;
+            if pending.batch.try_resend(now, budget) {
+                // Ahead of later decisions, which supersede it.
+                let at = usize::from(self.active_call.is_some());
+                self.queue.insert(at.min(self.queue.len()), pending.batch);
+            } else {
+                pending.resend_at = (now + MAX_RETRY_DELAY_MS).min(pending.expires_at);
                 self.unconfirmed.push(pending);
-                continue;
             }
-            if !has_expired {
-                self.resent_lines += pending.batch.cost_lines;
-            }
-            pending.batch.count_resent(now, budget);
-            // Ahead of later decisions, which supersede it.
-            let at = usize::from(self.active_call.is_some());
-            self.queue.insert(at.min(self.queue.len()), pending.batch);
         }
     }
 
@@ -425,7 +395,7 @@
         }
     }
 
-    /// Rules 6 and 7: the outcome of a call of the batch is unknown.
+    /// Rule 6: the outcome of a call of the batch is unknown.
     fn outcome_unknown(
         &mut self,
         now: f64,
@@ -433,13 +403,9 @@
         mut batch: Batch,
         budget: &mut dyn ChannelBudget,
     ) {
-        let is_cheap = self.is_cheap(now, &batch);
         let is_first = !std::mem::replace(&mut batch.is_resent, true);
-        if is_first && is_cheap && budget.may_resend(now, &batch.commands) {
-            self.resent_lines += batch.cost_lines;
-            self.not_before = now;
-            batch.count_resent(now, budget);
-            self.queue.push_front(batch);
+        if is_first && batch.try_resend(now, budget) {
+            self.queue_first(now, batch);
             return;
         }
         // Commands that did not fit into this call stay queued.
@@ -449,53 +415,33 @@
             rest.count_resent(now, budget);
             self.queue.push_front(rest);
         }
-        let expires_at = now + self.ack_timeout_ms;
-        let mut resend_at = now + self.resend_interval_ms;
-        if !is_cheap {
-            self.resend_withdrawals(now, &mut batch, budget);
-            resend_at = expires_at;
-        }
-        if !batch.commands.is_empty() {
-            self.unconfirmed.push(UnconfirmedBatch {
-                batch,
-                resend_at,
-                expires_at,
-            });
-            self.drop_superseded_unconfirmed();
+        let mut withdrawals = batch.split_withdrawals();
+        if is_first && !withdrawals.commands.is_empty() && withdrawals.try_resend(now, budget) {
+            self.queue_first(now, withdrawals);
+        } else {
+            self.set_aside(now, withdrawals);
         }
+        self.set_aside(now, batch);
+        self.drop_superseded_unconfirmed();
     }
 
-    /// Rule 7: takes the withdrawals and restores out of a batch and queues them ahead of everything else.
-    fn resend_withdrawals(&mut self, now: f64, batch: &mut Batch, budget: &mut dyn ChannelBudget) {
-        let withdrawals = batch.take_withdrawals();
-        if withdrawals.is_empty() {
+    /// Queues a batch to be sent at once, ahead of all others.
+    fn queue_first(&mut self, now: f64, batch: Batch) {
+        self.not_before = now;
+        self.queue.push_front(batch);
+    }
+
+    /// Rule 7: keeps a batch until a mark of it is acknowledged, or it is sent again.
+    fn set_aside(&mut self, now: f64, batch: Batch) {
+        if batch.commands.is_empty() {
             return;
         }
-        budget.count_resent(now, &withdrawals);
-        self.not_before = match batch.attempts {
-            0 => now,
-            n => now + retry_delay(n - 1),
-        };
-        self.queue.push_front(Batch {
-            commands: withdrawals,
-            epochs: Vec::new(),
-            mark: None,
-            sent_marks: Vec::new(),
-            acknowledged: false,
-            cost_lines: batch.cost_lines,
-            attempts: batch.attempts + 1,
-            is_resent: true,
-            refused: false,
+        self.unconfirmed.push(UnconfirmedBatch {
+            batch,
+            resend_at: now + self.resend_interval_ms.min(self.ack_timeout_ms),
+            expires_at: now + self.ack_timeout_ms,
         });
     }
-
-    /// Rule 6: whether the lines of a batch, with those resent recently, are a small share of the channel's
-    /// capacity.
-    fn is_cheap(&mut self, now: f64, batch: &Batch) -> bool {
-        let decayed = (now - self.resent_updated_at) * self.lines_per_ms * RESEND_SHARE;
-        (self.resent_lines, self.resent_updated_at) = ((self.resent_lines - decayed).max(0.0), now);
-        batch.cost_lines <= self.max_queued_lines * RESEND_SHARE - self.resent_lines
-    }
 }
 
 /// Delay after this many failed attempts.
--- a/crates/platform/src/delivery/batch.rs
+++ b/crates/platform/src/delivery/batch.rs
@@ -19,8 +19,6 @@
     pub sent_marks: Vec<u32>,
     /// Whether the mark was acknowledged.
     pub acknowledged: bool,
-    /// Lines that the decision costs in the channel.
-    pub cost_lines: f64,
     /// Failed attempts since the last accepted one.
     pub attempts: u32,
     /// Whether it was sent again after a call of unknown outcome, or set aside.
@@ -68,11 +66,21 @@
         self.mark = budget.count_resent(now, &self.commands);
     }
 
+    /// Prepares to send the commands once more, as one more message, if the limits of the channel have room
+    /// for it. Returns whether they have.
+    pub fn try_resend(&mut self, now: f64, budget: &mut dyn ChannelBudget) -> bool {
+        let may_resend = budget.may_resend(now, &self.commands);
+        if may_resend {
+            self.count_resent(now, budget);
+        }
+        may_resend
+    }
+
     /// Records that none of its calls was carried out: nothing of them waits in the channel, and its bindings
     /// return to the planner.
     pub fn is_not_carried_out(&mut self, budget: &mut dyn ChannelBudget, feedback: &mut Feedback) {
-        for mark in self.sent_marks.drain(..) {
-            budget.message_lost(mark);
+        for mark in &self.sent_marks {
+            budget.message_lost(*mark);
         }
         feedback.lost_bindings.append(&mut self.epochs);
         self.commands
@@ -120,7 +128,6 @@
             mark: if commands.is_empty() { None } else { self.mark },
             sent_marks: self.sent_marks.clone(),
             acknowledged: false,
-            cost_lines: self.cost_lines,
             commands,
             epochs,
             attempts: 0,
@@ -129,12 +136,21 @@
         }
     }
 
-    /// Takes out the withdrawals and restores.
-    pub fn take_withdrawals(&mut self) -> Vec<Command> {
+    /// Splits off the withdrawals and restores, which the acknowledgement of a mark sent so far confirms as well.
+    pub fn split_withdrawals(&mut self) -> Batch {
         let (withdrawals, rest) = std::mem::take(&mut self.commands)
             .into_iter()
             .partition(|command| matches!(command, Command::Withdraw { .. }));
         self.commands = rest;
-        withdrawals
+        Batch {
+            commands: withdrawals,
+            epochs: Vec::new(),
+            mark: None,
+            sent_marks: self.sent_marks.clone(),
+            acknowledged: false,
+            attempts: 0,
+            is_resent: self.is_resent,
+            refused: false,
+        }
     }
 }
--- a/crates/platform/tests/channel.rs
+++ b/crates/platform/tests/channel.rs
@@ -19,6 +19,8 @@
 struct Figures {
     proxies: usize,
     servers: usize,
+    /// Visits a second that come to each proxy.
+    visits_per_s: f64,
     lines_per_s: f64,
     max_queued_lines: f64,
     message_overhead_lines: f64,
@@ -77,8 +79,10 @@
     index: u64,
     /// The call under way: when it ends, its number and outcome.
     call: Option<(f64, u64, CallOutcome)>,
-    /// Calls are carried out, but their replies are lost, until this time.
+    /// Replies to calls are lost until this time.
     replies_lost_until: f64,
+    /// Whether a call whose reply is lost is carried out.
+    carries_lost_calls_out: bool,
     tables: BTreeMap<String, BTreeSet<String>>,
     bound: BTreeMap<usize, String>,
     messages: Vec<Message>,
@@ -112,6 +116,7 @@
             index: 1,
             call: None,
             replies_lost_until: START,
+            carries_lost_calls_out: true,
             tables: BTreeMap::new(),
             bound: BTreeMap::new(),
             messages: Vec::new(),
@@ -127,7 +132,7 @@
             world.event(RelayEvent::Hello {
                 proxy,
                 zone: 0,
-                visits_per_s: 20.0,
+                visits_per_s: figures.visits_per_s,
                 fresh: true,
             });
             world.advance(20.0);
@@ -161,11 +166,14 @@
         self.wake_at = wake_at;
         let Some(call) = call else { return };
         assert!(self.call.is_none(), "one call at a time");
-        let accepted = self.execute(call.text.trim_start_matches("txn ").trim_end());
-        let outcome = if self.now < self.replies_lost_until {
+        let is_lost = self.now < self.replies_lost_until;
+        if !is_lost || self.carries_lost_calls_out {
+            self.execute(call.text.trim_start_matches("txn ").trim_end());
+        }
+        let outcome = if is_lost {
             CallOutcome::Unknown
         } else {
-            CallOutcome::Replied(Reply::Accepted(accepted))
+            CallOutcome::Replied(Reply::Accepted(call.text.split(';').count()))
         };
         self.call = Some((self.now + REPLY_MS, call.number, outcome));
     }
@@ -216,8 +224,8 @@
         inputs
     }
 
-    /// Carries out a call: one message for each proxy concerned. Returns the number of commands.
-    fn execute(&mut self, text: &str) -> usize {
+    /// Carries out a call: one message for each proxy concerned.
+    fn execute(&mut self, text: &str) {
         let mut lines: BTreeMap<usize, f64> = BTreeMap::new();
         let mut withdrawn: BTreeMap<usize, Vec<String>> = BTreeMap::new();
         let mut mark = None;
@@ -257,7 +265,6 @@
             self.send(proxy, lines, mark, withdrawn);
         }
         self.check_limits();
-        text.split(';').count()
     }
 
     /// Adds a line for each proxy whose table passes.
@@ -297,6 +304,7 @@
 const WITH_MESSAGE_LIMIT: Figures = Figures {
     proxies: 6,
     servers: 12,
+    visits_per_s: 15.0,
     lines_per_s: 15_000.0,
     max_queued_lines: 22_500.0,
     message_overhead_lines: 3.0,
@@ -318,3 +326,43 @@
     assert_eq!(world.withdrawn_at.len(), 7, "every drain has arrived");
     assert!(world.most_messages <= 30, "{}", world.most_messages);
 }
+
+/// Many proxies behind a slow channel that may queue what it sends in a second. No limit on messages.
+const WITH_MANY_PROXIES: Figures = Figures {
+    proxies: 400,
+    servers: 30,
+    visits_per_s: 1.0,
+    lines_per_s: 7000.0,
+    max_queued_lines: 7000.0,
+    message_overhead_lines: 4.0,
+    latency_ms: 200.0,
+    max_messages: 0,
+};
+
+/// Guards against withdrawals of unknown outcome that are sent again and again until one is answered,
+/// uncounted and without a mark: all copies waited in the channel, and its limit was exceeded.
+#[test]
+fn withdrawals_sent_again_stay_within_the_queue_of_the_channel() {
+    for carries_lost_calls_out in [true, false] {
+        let mut world = World::new(WITH_MANY_PROXIES);
+        world.carries_lost_calls_out = carries_lost_calls_out;
+        world.replies_lost_until = world.now + 1000.0;
+        let (told_at, names) = (world.now, (0..9).map(|i| format!("s-{i}")));
+        let names: Vec<String> = names.collect();
+        world.list(&names, AdminState::Gone, 0.0);
+        world.advance(10_000.0);
+        let case = format!("carried out: {carries_lost_calls_out}");
+        assert!(
+            world.most_queued_lines <= 7000.0,
+            "{case}: {}",
+            world.most_queued_lines
+        );
+        let late = |name| world.withdrawn_at.get(name).map(|at| at - told_at);
+        let late: Vec<Option<f64>> = names.iter().map(late).collect();
+        // The shortest grace of a deployment, and the time that limits wait when the relay breaks a call.
+        let in_time = late
+            .iter()
+            .all(|ms| ms.is_some_and(|ms| ms <= 1500.0 + 500.0));
+        assert!(in_time, "{case}: {late:?}");
+    }
+}
--- a/crates/platform/tests/delivery.rs
+++ b/crates/platform/tests/delivery.rs
@@ -35,12 +35,26 @@
     Command::Bind { proxy, table: 0 }
 }
 
+/// Time without an acknowledgement after which a call counts as not carried out: three mean latencies, half
+/// the time in which a full channel empties, and 300 ms.
+const ACK_TIMEOUT_MS: f64 = 1100.0;
 /// Marks of resent calls begin here.
 const FIRST_RESENT_MARK: u32 = 100;
 
-/// Counts what is sent again, and allows it as long as a test wants.
+/// What the limits of the channel have room for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Room {
+    /// Any call.
+    All,
+    /// Withdrawals only: other calls cost too many lines.
+    Withdrawals,
+    /// Nothing.
+    Nothing,
+}
+
+/// Counts what is sent again, and has as much room for it as a test wants.
 struct TestBudget {
-    may_resend: bool,
+    room: Room,
     /// Commands that were sent again, without their marks.
     resent: Vec<Vec<Command>>,
     /// Marks of messages that were not carried out.
@@ -48,8 +62,13 @@
 }
 
 impl ChannelBudget for TestBudget {
-    fn may_resend(&mut self, _now: f64, _commands: &[Command]) -> bool {
-        self.may_resend
+    fn may_resend(&mut self, _now: f64, commands: &[Command]) -> bool {
+        let is_withdrawal = |command: &Command| matches!(command, Command::Withdraw { .. });
+        match self.room {
+            Room::All => true,
+            Room::Withdrawals => commands.iter().all(is_withdrawal),
+            Room::Nothing => false,
+        }
     }
 
     fn count_resent(&mut self, _now: f64, commands: &[Command]) -> Option<u32> {
@@ -63,6 +82,7 @@
 }
 
 /// A delivery and its feedback. The mean latency is 100 ms, and the channel of 1000 lines empties in 1 s.
+/// There is room to resend withdrawals only.
 struct Harness {
     delivery: Delivery,
     budget: TestBudget,
@@ -76,7 +96,7 @@
         Harness {
             delivery: Delivery::new(100.0, 1000.0, 1.0),
             budget: TestBudget {
-                may_resend: true,
+                room: Room::Withdrawals,
                 resent: Vec::new(),
                 lost: Vec::new(),
             },
@@ -86,9 +106,14 @@
         }
     }
 
-    /// Adds a decision that costs too many lines to be resent at once.
+    fn with_room(room: Room) -> Harness {
+        let mut harness = Harness::new();
+        harness.budget.room = room;
+        harness
+    }
+
     fn enqueue(&mut self, commands: Vec<Command>, epochs: Vec<(usize, u64)>, mark: Option<u32>) {
-        self.delivery.enqueue(commands, epochs, mark, 900.0);
+        self.delivery.enqueue(commands, epochs, mark);
     }
 
     fn call(&mut self) -> Option<String> {
@@ -196,8 +221,8 @@
         harness.enqueue(commands, vec![(7, 1)], Some(3));
         harness.call().unwrap();
         harness.end_call(outcome);
-        assert_eq!(harness.call().unwrap(), "withdraw,s2");
-        harness.accept(1);
+        assert_eq!(harness.call().unwrap(), "withdraw,s2;mark,100,0");
+        harness.accept(2);
         // Later decisions are still sent, and supersede unconfirmed commands.
         harness.enqueue(vec![share(1, 0.2)], vec![], Some(4));
         assert_eq!(harness.call().unwrap(), "share,0,s1,0.2;mark,4,0");
@@ -213,8 +238,15 @@
                 (None, (0, 0))
             );
         } else {
+            while harness.now < ACK_TIMEOUT_MS {
+                assert_eq!(harness.call(), None, "{} ms", harness.now);
+                assert_eq!(harness.feedback.lost_bindings, []);
+                harness.now = harness.delivery.wake_at().unwrap().min(ACK_TIMEOUT_MS);
+            }
+            harness.budget.room = Room::All;
             harness.now = harness.delivery.wake_at().unwrap();
             assert_eq!(harness.call().unwrap(), "share,0,s0,1;mark,101,0");
+            assert_eq!(harness.budget.lost, [3], "its lines do not wait");
             assert_eq!(
                 harness.feedback.lost_bindings,
                 [(7, 1)],
@@ -225,37 +257,68 @@
 }
 
 #[test]
-fn cheap_calls_are_resent_at_once_within_the_budget() {
+fn calls_are_resent_at_once_while_the_limits_have_room() {
     let mut harness = Harness::new();
-    for (i, again) in [true, true, false].into_iter().enumerate() {
-        harness
-            .delivery
-            .enqueue(vec![share(i, 1.0), bind(7)], vec![(7, 1)], Some(3), 90.0);
+    for (i, room) in [Room::All, Room::All, Room::Nothing]
+        .into_iter()
+        .enumerate()
+    {
+        harness.budget.room = room;
+        harness.enqueue(vec![share(i, 1.0), bind(7)], vec![(7, 1)], Some(3));
         let first = harness.call().unwrap();
         harness.end_call(CallOutcome::Unknown);
         let same = first.replace(
             "mark,3,",
             &format!("mark,{},", FIRST_RESENT_MARK + i as u32),
         );
-        assert_eq!(harness.call() == Some(same), again, "{i}");
+        let again = harness.call();
+        assert_eq!(again, Some(same).filter(|_| room == Room::All), "{i}");
         harness.accept(3);
     }
-    // After the time in which a full channel empties, there is room for resent lines again.
-    harness.now += 1000.0;
-    harness
-        .delivery
-        .enqueue(vec![withdraw(1)], vec![], None, 90.0);
+    // Once there is room, a call is resent again.
+    harness.budget.room = Room::All;
+    harness.enqueue(vec![withdraw(1)], vec![], None);
     harness.call().unwrap();
     harness.end_call(CallOutcome::Replied(Reply::Unreadable));
     assert_eq!(harness.call().unwrap(), "withdraw,s1;mark,102,0");
 }
 
+/// Guards against calls that are sent again and again before any acknowledgement can have arrived.
+#[test]
+fn a_call_unconfirmed_twice_waits_for_the_acknowledgement_of_either_mark() {
+    for (commands, room) in [
+        (vec![share(0, 1.0), withdraw(1)], Room::All),
+        (vec![withdraw(1)], Room::Withdrawals),
+    ] {
+        for acknowledged in [Some(3), Some(FIRST_RESENT_MARK), None] {
+            let case = format!("{commands:?} {acknowledged:?}");
+            let mut harness = Harness::with_room(room);
+            harness.enqueue(commands.clone(), vec![], Some(3));
+            for _ in 0..2 {
+                harness.call().expect(&case);
+                harness.end_call(CallOutcome::Unknown);
+            }
+            assert_eq!(harness.call(), None, "{case}");
+            if let Some(mark) = acknowledged {
+                harness.delivery.mark_acknowledged(mark);
+            }
+            let at = harness.delivery.wake_at();
+            assert_eq!(at, acknowledged.is_none().then_some(320.0), "{case}");
+            harness.now = 320.0;
+            assert_eq!(harness.call().is_some(), acknowledged.is_none(), "{case}");
+        }
+    }
+}
+
 #[test]
 fn unreadable_replies_cause_no_busy_loop() {
     // Commands that cost no lines (no proxy has joined), and withdrawals, which go first.
-    for (commands, cost_lines) in [(vec![share(0, 1.0)], 0.0), (vec![withdraw(1)], 900.0)] {
-        let mut harness = Harness::new();
-        harness.delivery.enqueue(commands, vec![], None, cost_lines);
+    for (commands, room) in [
+        (vec![share(0, 1.0)], Room::All),
+        (vec![withdraw(1)], Room::Withdrawals),
+    ] {
+        let mut harness = Harness::with_room(room);
+        harness.enqueue(commands, vec![], None);
         let mut calls = 0;
         for _ in 0..1000 {
             if harness.call().is_some() {
@@ -271,15 +334,12 @@
 #[test]
 fn the_queue_for_an_unreachable_relay_stays_short() {
     let mut harness = Harness::new();
-    harness
-        .delivery
-        .enqueue(vec![share(2, 0.5), bind(7)], vec![(7, 1)], Some(1), 10.0);
+    harness.enqueue(vec![share(2, 0.5), bind(7)], vec![(7, 1)], Some(1));
     for i in 0..5000 {
-        harness.delivery.enqueue(
+        harness.enqueue(
             vec![share(i % 2, i as f64), withdraw(i % 2)],
             vec![],
             Some(2),
-            10.0,
         );
         assert!(
             harness.delivery.pending_counts().0 <= 100,
@@ -333,28 +393,34 @@
 fn an_acknowledged_call_is_not_resent_whenever_the_acknowledgement_arrives() {
     let unreadable = CallOutcome::Replied(Reply::Unreadable);
     let beyond = CallOutcome::Replied(Reply::Accepted(99));
-    for (arrives, outcome, cost_lines) in [
-        (AckArrives::BeforeCallEnds, CallOutcome::Unknown, 90.0),
-        (AckArrives::BeforeCallEnds, CallOutcome::Unknown, 900.0),
-        (AckArrives::BeforeCallEnds, unreadable, 90.0),
-        (AckArrives::BeforeCallEnds, unreadable, 900.0),
-        (AckArrives::BeforeCallEnds, beyond, 900.0),
-        (AckArrives::BeforeResend, CallOutcome::Unknown, 90.0),
-        (AckArrives::WhileUnconfirmed, CallOutcome::Unknown, 900.0),
-        (AckArrives::DuringResend, CallOutcome::Unknown, 90.0),
-        (AckArrives::DuringResend, CallOutcome::NotSent, 90.0),
+    for (arrives, outcome, room) in [
+        (AckArrives::BeforeCallEnds, CallOutcome::Unknown, Room::All),
+        (
+            AckArrives::BeforeCallEnds,
+            CallOutcome::Unknown,
+            Room::Withdrawals,
+        ),
+        (AckArrives::BeforeCallEnds, unreadable, Room::All),
+        (AckArrives::BeforeCallEnds, unreadable, Room::Withdrawals),
+        (AckArrives::BeforeCallEnds, beyond, Room::Withdrawals),
+        (AckArrives::BeforeResend, CallOutcome::Unknown, Room::All),
+        (
+            AckArrives::WhileUnconfirmed,
+            CallOutcome::Unknown,
+            Room::Withdrawals,
+        ),
+        (AckArrives::DuringResend, CallOutcome::Unknown, Room::All),
+        (AckArrives::DuringResend, CallOutcome::NotSent, Room::All),
         (
             AckArrives::DuringResend,
             CallOutcome::Replied(Reply::TooManyCalls),
-            90.0,
+            Room::All,
         ),
     ] {
-        let case = format!("{arrives:?} {outcome:?} {cost_lines}");
-        let mut harness = Harness::new();
+        let case = format!("{arrives:?} {outcome:?} {room:?}");
+        let mut harness = Harness::with_room(room);
         let commands = vec![share(0, 1.0), bind(7)];
-        harness
-            .delivery
-            .enqueue(commands, vec![(7, 1)], Some(3), cost_lines);
+        harness.enqueue(commands, vec![(7, 1)], Some(3));
         harness.call().unwrap();
         match arrives {
             AckArrives::BeforeCallEnds => {
@@ -417,11 +483,11 @@
     harness.accept(rest.split(';').count());
     harness.delivery.mark_acknowledged(3);
     harness.delivery.mark_acknowledged(100);
-    harness.now = harness
-        .delivery
-        .wake_at()
-        .expect("the first part is still unconfirmed");
-    assert_eq!(harness.call(), None);
+    while harness.now < ACK_TIMEOUT_MS {
+        let wake_at = harness.delivery.wake_at();
+        harness.now = wake_at.expect("the first part is still unconfirmed");
+        assert_eq!(harness.call(), None);
+    }
     let lost: Vec<(usize, u64)> = (0..first).map(|p| (p, 1)).collect();
     assert_eq!(
         harness.feedback.lost_bindings, lost,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,6 +22,7 @@
     AdminState, Admission, Orders, PlannerSettings, RetryPolicy, RosterEntry, RosterUpdate,
     ServerStatus, TryStats,
 };
+use budget::{WITHDRAWAL_MESSAGE_SHARE, WITHDRAWAL_QUEUE_SHARE};
 use std::collections::BTreeMap;
 
 /// Interval at which changed weights are published. Other delays are multiples of it.
@@ -480,8 +481,10 @@
             return false;
         }
         let due = |s: &Server| s.listed && !s.is_ready() && !s.is_withdrawn();
-        let found = self.find_server(|s| due(s) && self.may_send(1.0, self.messages_of_part(s)));
-        found.is_some_and(|s| self.set_withdrawn(s, true, 1.0))
+        let found = self.find_server(|s| {
+            due(s) && self.may_send(WITHDRAWAL_MESSAGE_SHARE, self.messages_of_part(s))
+        });
+        found.is_some_and(|s| self.set_withdrawn(s, true, WITHDRAWAL_QUEUE_SHARE))
     }
 
     /// Allows a server that is ready again and is withdrawn, or may be.
--- a/src/rules/budget.rs
+++ b/src/rules/budget.rs
@@ -3,24 +3,27 @@
 //! All that is written to proxies is counted in one place, [`Channel`](crate::state::Channel): each decision
 //! as one message to every proxy concerned, and orders that are sent again as another one.
 
-use super::{MESSAGE_SHARE, Planner, URGENT_QUEUE_SHARE};
+use super::{MESSAGE_SHARE, Planner, QUEUE_SHARE, URGENT_QUEUE_SHARE};
 use crate::Orders;
 use crate::state::Server;
 
+/// Share of the channel's queue that withdrawals may fill.
+pub(super) const WITHDRAWAL_QUEUE_SHARE: f64 = 1.0;
 /// Share of a proxy's message limit that withdrawals may use.
-const WITHDRAWAL_MESSAGE_SHARE: f64 = 1.0;
+pub(super) const WITHDRAWAL_MESSAGE_SHARE: f64 = 1.0;
 
 impl Planner {
-    /// Whether orders that may have been carried out already may be sent once more now.
+    /// Whether orders that may have been carried out already may be sent once more now: both copies count.
+    /// Withdrawals by themselves may use the whole channel, like those of a decision.
     pub fn may_resend(&mut self, now: f64, orders: &Orders) -> bool {
-        let share = if orders.are_withdrawals_only() {
-            WITHDRAWAL_MESSAGE_SHARE
+        let (queue_share, message_share) = if orders.are_withdrawals_only() {
+            (WITHDRAWAL_QUEUE_SHARE, WITHDRAWAL_MESSAGE_SHARE)
         } else {
-            MESSAGE_SHARE
+            (QUEUE_SHARE, MESSAGE_SHARE)
         };
         self.begin_resent_message(now, orders);
         let most_messages = self.channel.most_messages_of_concerned(now, &self.proxies);
-        self.may_send(share, most_messages)
+        self.fits_queue(queue_share, 0.0) && self.may_send(message_share, most_messages)
     }
 
     /// Counts orders that are sent once more, as a message of their own to every proxy concerned. Returns
