--- a/crates/control/src/controller.rs
+++ b/crates/control/src/controller.rs
@@ -171,6 +171,7 @@
             0.0
         },
         message_window_ms: settings.message_window_ms,
+        drain_grace_ms: settings.drain_grace_ms,
         report_interval_ms: settings.report_interval_ms,
         report_lines_per_ms: settings.report_lines_per_s / 1000.0,
         cold_capacity_share: settings.cold_capacity_share,
--- a/crates/opening/src/lib.rs
+++ b/crates/opening/src/lib.rs
@@ -50,6 +50,12 @@
     overload_multiple: f64,
     #[serde(rename = "rampTimeNs", deserialize_with = "ms_from_ns")]
     warm_up_ms: f64,
+    #[serde(
+        default,
+        rename = "stopSendingWithinNs",
+        deserialize_with = "ms_from_ns"
+    )]
+    drain_grace_ms: f64,
     #[serde(default, rename = "softRemoval")]
     keep_unlisted_servers: bool,
 }
@@ -162,6 +168,7 @@
         initial_servers: deployment.initial_servers,
         max_messages: deployment.max_messages,
         message_window_ms: deployment.message_window_ms,
+        drain_grace_ms: servers.drain_grace_ms,
         report_interval_ms: deployment.report_interval_ms,
         report_lines_per_ms: deployment.report_lines_per_s / 1000.0,
         cold_capacity_share: servers.cold_capacity_share,
--- a/crates/platform/tests/channel.rs
+++ b/crates/platform/tests/channel.rs
@@ -25,6 +25,7 @@
     max_queued_lines: f64,
     message_overhead_lines: f64,
     latency_ms: f64,
+    drain_grace_ms: f64,
     /// Messages to one proxy within [`MESSAGE_WINDOW_MS`]; 0 means no limit.
     max_messages: usize,
 }
@@ -36,7 +37,8 @@
     let settings = json!({
         "lanes": [{"name": "view", "aimNs": 1_000_000_000, "credit": 1.0}],
         "zones": ["a"],
-        "rules": {"coldFrom": 0.15, "fallMultiple": 2.5, "rampTimeNs": 16_000_000_000_u64},
+        "rules": {"coldFrom": 0.15, "fallMultiple": 2.5, "rampTimeNs": 16_000_000_000_u64,
+            "stopSendingWithinNs": (figures.drain_grace_ms * 1e6) as u64},
         "specifics": {"mostWaiting": figures.max_queued_lines, "egressPerS": figures.lines_per_s,
             "pushDelayNs": (figures.latency_ms * 1e6) as u64, "overhead": figures.message_overhead_lines,
             "reportEveryNs": 500_000_000, "ingestRate": 300.0, "proxies": figures.proxies, "standing": 12.0,
@@ -66,7 +68,7 @@
     arrives_at: f64,
     lines: f64,
     mark: Option<u32>,
-    /// Servers that it withdraws.
+    /// Servers that it withdraws, or removes from the table.
     withdrawn: Vec<String>,
 }
 
@@ -90,8 +92,8 @@
     channel_free_at: f64,
     /// Times of the messages to each proxy.
     sent_at: BTreeMap<usize, Vec<f64>>,
-    /// When the last proxy has applied a server's withdrawal.
-    withdrawn_at: BTreeMap<String, f64>,
+    /// When each proxy was first told to stop sending to a server.
+    withdrawn_at: BTreeMap<(usize, String), f64>,
     most_messages: usize,
     most_queued_lines: f64,
 }
@@ -210,8 +212,9 @@
         let mut inputs = Vec::new();
         for message in arrived {
             for server in message.withdrawn {
-                let at = self.withdrawn_at.entry(server).or_insert(now);
-                *at = at.max(now);
+                self.withdrawn_at
+                    .entry((message.proxy, server))
+                    .or_insert(now);
             }
             inputs.extend(message.mark.map(|mark| Input::RelayEvent {
                 follower: 0,
@@ -232,6 +235,9 @@
         for command in text.split(';') {
             match command.split(',').collect::<Vec<_>>()[..] {
                 ["share", table, server, weight] => {
+                    if weight == "0" {
+                        self.add_withdrawn(&mut withdrawn, server);
+                    }
                     let servers = self.tables.entry(table.into()).or_default();
                     if weight == "0" {
                         servers.remove(server);
@@ -241,13 +247,10 @@
                     self.add_lines(&mut lines, |t| t == table);
                 }
                 ["admit", table, ..] => self.add_lines(&mut lines, |t| t == table),
-                ["withdraw" | "restore", server] => {
-                    let tables = self.tables.clone();
-                    let holds = |t: &str| tables.get(t).is_some_and(|t| t.contains(server));
-                    self.add_lines(&mut lines, holds);
-                    let holders = self.bound.iter().filter(|(_, table)| holds(table));
-                    for (proxy, _) in holders.filter(|_| command.starts_with("withdraw")) {
-                        withdrawn.entry(*proxy).or_default().push(server.into());
+                [order @ ("withdraw" | "restore"), server] => {
+                    self.add_lines(&mut lines, |table| self.holds(table, server));
+                    if order == "withdraw" {
+                        self.add_withdrawn(&mut withdrawn, server);
                     }
                 }
                 ["bind", proxy, table, _] => {
@@ -274,6 +277,19 @@
         }
     }
 
+    fn holds(&self, table: &str, server: &str) -> bool {
+        let servers = self.tables.get(table);
+        servers.is_some_and(|servers| servers.contains(server))
+    }
+
+    /// Adds a withdrawn server for each proxy whose table holds it.
+    fn add_withdrawn(&self, withdrawn: &mut BTreeMap<usize, Vec<String>>, server: &str) {
+        let holders = self.bound.iter().filter(|(_, t)| self.holds(t, server));
+        for (proxy, _) in holders {
+            withdrawn.entry(*proxy).or_default().push(server.into());
+        }
+    }
+
     fn send(&mut self, proxy: usize, lines: f64, mark: Option<u32>, withdrawn: Vec<String>) {
         let lines = lines + self.figures.message_overhead_lines + f64::from(mark.is_some());
         let begins_at = self.channel_free_at.max(self.now);
@@ -289,6 +305,17 @@
         });
     }
 
+    /// When the last proxy was told to stop sending to a server; none if a proxy that holds it was not.
+    fn all_withdrawn_at(&self, server: &str) -> Option<f64> {
+        let is_told = |proxy: &usize| self.withdrawn_at.contains_key(&(*proxy, server.into()));
+        let mut holders = (0..self.figures.proxies).filter(|p| self.holds(&self.bound[p], server));
+        if !holders.all(|proxy| is_told(&proxy)) {
+            return None;
+        }
+        let told = self.withdrawn_at.iter().filter(|((_, s), _)| s == server);
+        told.map(|(_, at)| *at).reduce(f64::max)
+    }
+
     fn check_limits(&mut self) {
         let queued = self.messages.iter().filter(|m| m.leaves_at > self.now);
         let queued_lines: f64 = queued.map(|m| m.lines).sum();
@@ -309,6 +336,7 @@
     max_queued_lines: 22_500.0,
     message_overhead_lines: 3.0,
     latency_ms: 200.0,
+    drain_grace_ms: 3000.0,
     max_messages: 30,
 };
 
@@ -323,7 +351,13 @@
         world.advance(1200.0);
     }
     world.advance(8000.0);
-    assert_eq!(world.withdrawn_at.len(), 7, "every drain has arrived");
+    for server in 0..7 {
+        let arrived = world.all_withdrawn_at(&format!("s-{server}"));
+        assert!(
+            arrived.is_some(),
+            "the drain of server {server} has arrived"
+        );
+    }
     assert!(world.most_messages <= 30, "{}", world.most_messages);
 }
 
@@ -336,6 +370,7 @@
     max_queued_lines: 7000.0,
     message_overhead_lines: 4.0,
     latency_ms: 200.0,
+    drain_grace_ms: 1500.0,
     max_messages: 0,
 };
 
@@ -357,7 +392,7 @@
             "{case}: {}",
             world.most_queued_lines
         );
-        let late = |name| world.withdrawn_at.get(name).map(|at| at - told_at);
+        let late = |name: &String| world.all_withdrawn_at(name).map(|at| at - told_at);
         let late: Vec<Option<f64>> = names.iter().map(late).collect();
         // The shortest grace of a deployment, and the time that limits wait when the relay breaks a call.
         let in_time = late
@@ -366,3 +401,45 @@
         assert!(in_time, "{case}: {late:?}");
     }
 }
+
+/// Guards against withdrawals that use up the limit on messages one by one, so that the last ones are told
+/// only when the first messages leave the window, long after the grace of their drains.
+#[test]
+fn withdrawals_are_gathered_before_they_use_up_the_limit_on_messages() {
+    let at_once = Figures {
+        proxies: 8,
+        servers: 60,
+        visits_per_s: 50.0,
+        ..WITH_MESSAGE_LIMIT
+    };
+    // The same with few messages and a short grace.
+    let tight = Figures {
+        drain_grace_ms: 2500.0,
+        max_messages: 14,
+        ..at_once
+    };
+    for figures in [at_once, tight] {
+        for interval_ms in [20.0, 190.0, 400.0, 900.0] {
+            let case = format!("{} messages, every {interval_ms} ms", figures.max_messages);
+            let mut world = World::new(figures);
+            let mut told_at = BTreeMap::new();
+            for server in 0..36 {
+                let started_at = world.now;
+                world.list(&[format!("t-{server}")], AdminState::Ready, started_at);
+                let name = format!("s-{server}");
+                told_at.insert(name.clone(), world.now);
+                world.list(&[name], AdminState::Draining, 0.0);
+                world.advance(interval_ms);
+            }
+            world.advance(15_000.0);
+            let arrived = |name: &String| world.all_withdrawn_at(name);
+            let latest = told_at
+                .iter()
+                .map(|(name, told)| arrived(name).map(|at| at - told));
+            let latest: Option<Vec<f64>> = latest.collect();
+            let latest = latest.expect(&case).into_iter().fold(0.0, f64::max);
+            assert!(latest <= figures.drain_grace_ms, "{case}: {latest} ms");
+            assert!(world.most_messages <= figures.max_messages, "{case}");
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 //! The caller reports each event by one method call. After all events of one moment it calls
 //! [`rules::Planner::decide`], which returns the orders to carry out.
 
+mod message_pacing;
 mod overload;
 pub mod rules;
 mod state;
@@ -54,6 +55,8 @@
     pub max_messages: f64,
     /// The window in which `max_messages` applies.
     pub message_window_ms: f64,
+    /// Time within which proxies must stop sending to a server that is draining or gone; 0 if not known.
+    pub drain_grace_ms: f64,
     /// Interval at which proxies report.
     pub report_interval_ms: f64,
     /// Lines of reports per millisecond that reach the controller at most.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,7 +22,7 @@
     AdminState, Admission, Orders, PlannerSettings, RetryPolicy, RosterEntry, RosterUpdate,
     ServerStatus, TryStats,
 };
-use budget::{WITHDRAWAL_MESSAGE_SHARE, WITHDRAWAL_QUEUE_SHARE};
+use budget::WITHDRAWAL_QUEUE_SHARE;
 use std::collections::BTreeMap;
 
 /// Interval at which changed weights are published. Other delays are multiples of it.
@@ -136,6 +136,8 @@
     reports: ReportTotals,
     /// Time of the next regular publication of weights.
     next_tick: f64,
+    /// Time at which withdrawals that are being gathered are sent; infinite if there are none.
+    next_withdrawal_at: f64,
     /// Time of the next decision as last ordered.
     wake_at: f64,
     /// When to request the roster; infinite if it needn't be.
@@ -223,7 +225,7 @@
         let soft_limits = settings.classes.iter().map(|c| c.soft_limit_ms);
         let earnings = settings.classes.iter().map(|c| c.earnings);
         let highest = earnings.clone().fold(0.0, f64::max);
-        let message_limit = Some(settings.max_messages).filter(|m| *m > 0.0);
+        let message_limit = budget::message_limit(settings);
         let message_overhead_lines = settings.message_overhead_lines + 1.0;
         let level = Level {
             share: 1.0,
@@ -240,7 +242,10 @@
                 max_queued_lines: settings.max_queued_lines,
                 max_in_flight_lines: settings.lines_per_ms * settings.message_latency_ms,
                 message_overhead_lines,
-                max_messages: message_limit.unwrap_or(f64::INFINITY),
+                max_withdrawal_interval_ms: budget::max_withdrawal_interval_ms(
+                    settings.drain_grace_ms,
+                    message_limit,
+                ),
                 initial_servers: settings.initial_servers,
                 max_visit_gap_ms: settings.idle_timeout_ms * IDLE_TIMEOUT_SHARE,
                 cold_capacity_share: settings.cold_capacity_share,
@@ -252,7 +257,7 @@
                 may_limit_admission: settings.admission == Admission::Share,
                 has_shared_table: !settings.sharded,
             },
-            channel: Channel::new(message_overhead_lines, settings.message_window_ms),
+            channel: Channel::new(message_overhead_lines, message_limit),
             servers: Vec::new(),
             proxies: BTreeMap::new(),
             departed: BTreeMap::new(),
@@ -266,6 +271,7 @@
             fleet: FleetStats::default(),
             reports: ReportTotals::default(),
             next_tick: now + TICK_MS,
+            next_withdrawal_at: f64::INFINITY,
             wake_at: now,
             request_roster_at: if settings.must_request_roster {
                 now
@@ -472,19 +478,30 @@
         !self.channel.parts.is_empty()
     }
 
-    /// Withdraws a server that is draining or gone, at once and from all tables, unless no ready
-    /// server has a weight yet.
+    /// Withdraws a server that is draining or gone from all tables, unless no ready server has a weight yet:
+    /// at once, or gathered with others while the limit on messages runs low.
     fn withdraw_unready_server(&mut self) -> bool {
+        self.next_withdrawal_at = f64::INFINITY;
         let expects_weight = self.ready_servers().next().is_some() && !self.proxies.is_empty();
         let no_weight = !self.ready_servers().any(|s| s.published_weight > 0.0);
         if expects_weight && no_weight {
             return false;
         }
-        let due = |s: &Server| s.listed && !s.is_ready() && !s.is_withdrawn();
-        let found = self.find_server(|s| {
-            due(s) && self.may_send(WITHDRAWAL_MESSAGE_SHARE, self.messages_of_part(s))
-        });
-        found.is_some_and(|s| self.set_withdrawn(s, true, WITHDRAWAL_QUEUE_SHARE))
+        let is_due = |s: &&Server| s.listed && !s.is_ready() && !s.is_withdrawn();
+        let mut earliest = (f64::INFINITY, None);
+        for (index, server) in self.servers.iter().enumerate().filter(|(_, s)| is_due(s)) {
+            let at = self.next_withdrawal_of(server);
+            if at < earliest.0 {
+                earliest = (at, Some(index));
+            }
+        }
+        match earliest {
+            (at, Some(s)) if at <= self.now => self.set_withdrawn(s, true, WITHDRAWAL_QUEUE_SHARE),
+            (at, _) => {
+                self.next_withdrawal_at = at;
+                false
+            }
+        }
     }
 
     /// Allows a server that is ready again and is withdrawn, or may be.
@@ -643,7 +660,7 @@
         if levels == self.ordered_levels
             || parts == 0
             || !self.fits_queue(QUEUE_SHARE, (0..parts).map(part_cost).sum())
-            || !self.may_send(MESSAGE_SHARE, self.channel.max_messages(None))
+            || !self.may_send(MESSAGE_SHARE, self.channel.message_usage(None))
         {
             return false;
         }
@@ -707,7 +724,7 @@
             if !self.fits_queue(queue_share, self.channel.cost(Some(t.part), 1.0)) {
                 break;
             }
-            if !self.may_send(message_share, self.channel.max_messages(Some(t.part))) {
+            if !self.may_send(message_share, self.channel.message_usage(Some(t.part))) {
                 continue;
             }
             wrote = true;
@@ -728,7 +745,7 @@
     /// parts of a zone that is being cut off would seem idle while its proxies leave.
     fn bind_proxy(&mut self) -> bool {
         let (now, ramp_ms) = (self.now, RAMP_TICKS * TICK_MS);
-        let kept_ms = ramp_ms.max(self.channel.message_window_ms);
+        let kept_ms = ramp_ms.max(self.channel.message_limit.window_ms);
         self.departed
             .retain(|_, (left_at, _)| now - *left_at < kept_ms);
         let departed = self.departed.values();
@@ -762,8 +779,8 @@
                 } else {
                     MESSAGE_SHARE
                 };
-                let sent = p.recent_messages(now, self.channel.message_window_ms);
-                self.may_send(share, sent)
+                let sent = p.message_usage(now, self.channel.message_limit);
+                self.may_move(share, sent)
             })
         };
         let unbound = self.proxies.iter().find(|(_, p)| p.part.is_none());
@@ -1189,9 +1206,10 @@
         self.channel.begin_message(now, &mut self.proxies);
         while RULES.iter().any(|rule| rule(self)) {}
         self.orders.mark = self.channel.finish_message(now, &mut self.proxies);
-        if self.wake_at <= now || self.next_tick < self.wake_at {
-            self.wake_at = self.next_tick;
-            self.orders.wake_at = Some(self.next_tick);
+        let next_decision = self.next_tick.min(self.next_withdrawal_at);
+        if self.wake_at <= now || next_decision < self.wake_at {
+            self.wake_at = next_decision;
+            self.orders.wake_at = Some(next_decision);
         }
         std::mem::take(&mut self.orders)
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! The planner's state and the statistics computed from it. Nothing here decides anything.
 
+use crate::message_pacing::{MessageLimit, MessageUsage};
 use crate::{AdminState, TryStats};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -347,10 +348,18 @@
         queued.map(|m| m.lines).sum()
     }
 
-    /// Number of messages that it was sent within the message window.
-    pub fn recent_messages(&self, now: f64, message_window_ms: f64) -> f64 {
-        let times = self.message_times.iter();
-        times.filter(|at| now - **at < message_window_ms).count() as f64
+    /// Times of the messages that it was sent within the window of the limit, the oldest first.
+    pub fn recent_message_times(&self, now: f64, limit: MessageLimit) -> Vec<f64> {
+        let times = self.message_times.iter().copied();
+        times.filter(|at| now - at < limit.window_ms).collect()
+    }
+
+    /// How much of the limit on messages is used.
+    pub fn message_usage(&self, now: f64, limit: MessageLimit) -> MessageUsage {
+        if limit.is_absent() {
+            return MessageUsage::default();
+        }
+        MessageUsage::of(&self.recent_message_times(now, limit), now, limit)
     }
 }
 
@@ -361,10 +370,10 @@
     zone: Option<usize>,
     /// Number of proxies that are bound to it.
     pub bound_proxies: f64,
-    /// Most messages that any of these proxies was sent recently.
-    max_messages: f64,
+    /// The most that any of these proxies was sent recently.
+    message_usage: MessageUsage,
     /// Lines that the current message adds for each of these proxies.
-    added_lines: f64,
+    pub added_lines: f64,
 }
 
 impl Part {
@@ -373,7 +382,7 @@
         Part {
             zone,
             bound_proxies: 0.0,
-            max_messages: 0.0,
+            message_usage: MessageUsage::default(),
             added_lines: 0.0,
         }
     }
@@ -407,8 +416,8 @@
     added_singly: f64,
     /// Fixed cost of a message to one proxy, in lines.
     message_overhead_lines: f64,
-    /// The window in which messages to a proxy are counted.
-    pub message_window_ms: f64,
+    /// The limit on messages to one proxy.
+    pub message_limit: MessageLimit,
     /// Number of the last message.
     last_message: u64,
     /// Number of the newest message that any proxy has acknowledged.
@@ -417,10 +426,10 @@
 
 impl Channel {
     /// A channel without parts and messages.
-    pub fn new(message_overhead_lines: f64, message_window_ms: f64) -> Channel {
+    pub fn new(message_overhead_lines: f64, message_limit: MessageLimit) -> Channel {
         Channel {
             message_overhead_lines,
-            message_window_ms,
+            message_limit,
             ..Channel::default()
         }
     }
@@ -453,11 +462,12 @@
         }
     }
 
-    /// Most messages that any proxy of a part, or of all parts, was sent recently.
-    pub fn max_messages(&self, part: Option<usize>) -> f64 {
+    /// The most that any proxy of a part, or of all parts, was sent recently.
+    pub fn message_usage(&self, part: Option<usize>) -> MessageUsage {
         let parts = self.parts.iter().enumerate();
         let selected = parts.filter(|(i, _)| part.is_none_or(|part| part == *i));
-        selected.map(|(_, p)| p.max_messages).fold(0.0, f64::max)
+        let usages = selected.map(|(_, p)| p.message_usage);
+        usages.fold(MessageUsage::default(), MessageUsage::max)
     }
 
     /// The load of each part. Servers that are withdrawn or in excluded zones don't count.
@@ -496,8 +506,8 @@
             self.queued_lines += p.queued_lines(self.acknowledged);
             if let Some(part) = p.part.map(|part| &mut self.parts[part]) {
                 part.bound_proxies += 1.0;
-                let messages = p.recent_messages(now, self.message_window_ms);
-                part.max_messages = part.max_messages.max(messages);
+                let usage = p.message_usage(now, self.message_limit);
+                part.message_usage = part.message_usage.max(usage);
             }
         }
     }
@@ -520,14 +530,14 @@
         (self.added_singly - binding_lines).max(0.0) / unbound.max(1) as f64
     }
 
-    /// Most messages that any proxy that gets the current message was sent recently.
-    pub fn most_messages_of_concerned(&self, now: f64, proxies: &BTreeMap<usize, Proxy>) -> f64 {
+    /// The proxies that get the current message.
+    pub fn concerned<'a>(
+        &'a self,
+        proxies: &'a BTreeMap<usize, Proxy>,
+    ) -> impl Iterator<Item = &'a Proxy> {
         let unbound_lines = self.lines_of_unbound(proxies);
-        let concerned = proxies
-            .values()
-            .filter(|p| self.lines_of(p, unbound_lines) > 0.0);
-        let messages = concerned.map(|p| p.recent_messages(now, self.message_window_ms));
-        messages.fold(0.0, f64::max)
+        let is_concerned = move |p: &&Proxy| self.lines_of(p, unbound_lines) > 0.0;
+        proxies.values().filter(is_concerned)
     }
 
     /// Ends the message and records it for each proxy that gets lines. Returns its mark, unless it is
@@ -545,7 +555,7 @@
         for p in proxies.values_mut() {
             let lines = self.lines_of(p, unbound_lines);
             if lines > 0.0 {
-                p.message_sent(now, self.message_window_ms, self.last_message, lines);
+                p.message_sent(now, self.message_limit.window_ms, self.last_message, lines);
             }
         }
         Some(mark_of(self.last_message))
@@ -643,8 +653,8 @@
     pub max_in_flight_lines: f64,
     /// Fixed cost of a message, in lines: the deployment's overhead and one line more.
     pub message_overhead_lines: f64,
-    /// Messages that one proxy may be sent within the channel's window; infinite without a limit.
-    pub max_messages: f64,
+    /// Other messages leave so many that withdrawals can be sent at this interval.
+    pub max_withdrawal_interval_ms: f64,
     /// Servers that a proxy picks by itself at its start.
     pub initial_servers: f64,
     /// How far apart a proxy's visits to one server may be on average.
--- a/tests/planner.rs
+++ b/tests/planner.rs
@@ -25,6 +25,7 @@
         message_overhead_lines: 4.0,
         max_messages: 0.0,
         message_window_ms: 10_000.0,
+        drain_grace_ms: 3000.0,
         report_interval_ms: 1000.0,
         report_lines_per_ms: 0.1,
         cold_capacity_share: 0.2,
