--- a/crates/proxy/src/data_plane.rs
+++ b/crates/proxy/src/data_plane.rs
@@ -24,6 +24,9 @@
 const MAX_BUFFERED_BODY_BYTES: u64 = 64 * 1024;
 /// How often the proxy checks whether clients of waiting visits have disconnected.
 const CLIENT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time beyond the hard limit of a visit in which its client can still be told that it failed. Then the
+/// connection is closed, whether the client sends, reads or does neither.
+const CLIENT_GRACE: Duration = Duration::from_millis(500);
 /// Idle connections that are kept to one server.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 /// `Retry-After` of a 503 answer.
@@ -422,6 +425,7 @@
 
     /// Serves one visit. Returns whether the connection can be used for the next.
     fn visit(&self, client: &mut Connection, head: &Head) -> io::Result<bool> {
+        let refusal_limit = shutdown_at(&client.socket, Instant::now() + CLIENT_GRACE)?;
         let body = match head.request_body() {
             Ok(body) => body,
             Err(BadMessage(status, why)) => {
@@ -445,11 +449,13 @@
             }
             table.stalled_until
         };
+        drop(refusal_limit);
         let wait = stalled_until.saturating_duration_since(Instant::now());
         if !wait.is_zero() {
             sleep(wait);
         }
         let deadline = Instant::now() + duration_ms(self.settings.classes[class].hard_limit_ms);
+        let _visit_limit = shutdown_at(&client.socket, deadline + CLIENT_GRACE)?;
         if head
             .get("expect")
             .is_some_and(|e| e.eq_ignore_ascii_case("100-continue"))
