--- a/crates/fibers/src/async_stream.rs
+++ b/crates/fibers/src/async_stream.rs
@@ -1,10 +1,10 @@
 //! A socket behind the traits `AsyncRead` and `AsyncWrite`. One coroutine reads from the socket into
 //! a bounded buffer, another writes a second buffer to the socket; [`AsyncStream`] polls the buffers.
 
-use crate::{TcpStream, block_on, shutdown_at, spawn};
+use crate::{InputTurns, TcpStream, block_on, shutdown_at, spawn};
 use bytes::{Buf, BytesMut};
 use std::future::poll_fn;
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -100,8 +100,9 @@
     let received = inbound.clone();
     spawn(move || {
         let mut chunk = vec![0; READ_BYTES];
+        let mut turns = InputTurns::default();
         while let Some(space) = block_on(poll_fn(|c| received.poll_space(c))) {
-            match reader.read(&mut chunk[..space.min(READ_BYTES)]) {
+            match turns.read(&mut reader, &mut chunk[..space.min(READ_BYTES)]) {
                 Ok(0) => break,
                 Ok(n) => received.update(|buffer| buffer.data.extend_from_slice(&chunk[..n])),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
--- a/crates/fibers/src/lib.rs
+++ b/crates/fibers/src/lib.rs
@@ -11,12 +11,14 @@
 mod queue;
 mod socket;
 mod timer;
+mod turns;
 
 pub use async_stream::{AsyncStream, async_stream};
 pub use notify::Notify;
 pub use queue::{Closed, Queue, Received};
 pub use socket::{Socket, accept};
 pub use timer::{Timer, shutdown_at};
+pub use turns::InputTurns;
 
 pub use may::coroutine::JoinHandle;
 pub use may::net::{TcpListener, TcpStream};
@@ -96,7 +98,8 @@
     }
 }
 
-/// Yields to the other coroutines, so that one whose input never ends does not starve them.
+/// Yields to the other coroutines that are ready to run. Those that wait for a socket or a timer are not served
+/// while any coroutine is ready: see [`InputTurns`].
 pub fn yield_now() {
     may::coroutine::yield_now();
 }
--- a/crates/fibers/src/socket.rs
+++ b/crates/fibers/src/socket.rs
@@ -2,14 +2,15 @@
 //! deadline, a connect that times out closes its descriptor at once, and other coroutines or threads
 //! can interrupt a wait.
 
+use crate::turns::{InputTurns, pause};
 use crate::{TcpListener, TcpStream, timer};
 use may::io::WaitIo;
 use socket2::{Domain, Protocol, Type};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr};
 use std::os::fd::{FromRawFd, IntoRawFd};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// A handle to a socket; clones share the descriptor, which is closed with the last of them.
@@ -20,6 +21,7 @@
 struct Shared {
     stream: TcpStream,
     interrupted: AtomicBool,
+    turns: Mutex<InputTurns>,
 }
 
 impl From<TcpStream> for Socket {
@@ -28,6 +30,7 @@
         Socket(Arc::new(Shared {
             stream,
             interrupted,
+            turns: Mutex::default(),
         }))
     }
 }
@@ -111,12 +114,33 @@
         }
     }
 
-    /// Reads available bytes, waiting for some until a deadline; 0 is the end of the stream.
+    /// Reads available bytes, waiting for some until a deadline; 0 is the end of the stream. Pauses if the
+    /// input has not paused for too long.
     ///
     /// # Errors
     /// `TimedOut` at the deadline or after an interruption; else the system's error.
     pub fn read(&self, buffer: &mut [u8], deadline: Option<Instant>) -> io::Result<usize> {
-        self.retry_until(deadline, |mut stream| stream.read(buffer))
+        let mut has_waited = false;
+        let read = self.retry_until(deadline, |mut stream| {
+            let read = stream.read(buffer);
+            has_waited |= matches!(&read, Err(e) if e.kind() == io::ErrorKind::WouldBlock);
+            read
+        });
+        if self.has_to_pause(has_waited) {
+            pause();
+        }
+        read
+    }
+
+    /// Records a read. Returns whether the caller has to pause.
+    fn has_to_pause(&self, has_waited: bool) -> bool {
+        let turns = self.0.turns.lock();
+        let mut turns = turns.unwrap_or_else(PoisonError::into_inner);
+        if has_waited {
+            turns.waited();
+            return false;
+        }
+        turns.did_not_wait()
     }
 
     /// Writes all bytes to the system's send buffer.
--- a/crates/grpc/tests/calls.rs
+++ b/crates/grpc/tests/calls.rs
@@ -251,3 +251,37 @@
         || matches!(Connection::connect(address, limits()), Err(e) if e.code == Code::Unavailable),
     );
 }
+
+/// Guards against a peer whose input never pauses: no other connection was served while it lasted.
+#[test]
+fn a_flood_of_pings_keeps_no_other_connection_waiting() {
+    let (server, _, _) = start_server();
+    let mut flood = std::net::TcpStream::connect(server.address()).unwrap();
+    flood
+        .write_all(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0")
+        .unwrap();
+    let mut answers = flood.try_clone().unwrap();
+    std::thread::spawn(move || {
+        let mut buffer = vec![0; 1 << 16];
+        while matches!(answers.read(&mut buffer), Ok(1..)) {}
+    });
+    let is_over = Arc::new(AtomicUsize::new(0));
+    let (stop, (began, has_begun)) = (is_over.clone(), std::sync::mpsc::channel());
+    let flooding = std::thread::spawn(move || {
+        let pings = b"\0\0\x08\x06\0\0\0\0\0whatever".repeat(4000);
+        while stop.load(Ordering::SeqCst) == 0 && flood.write_all(&pings).is_ok() {
+            let _ = began.send(());
+        }
+    });
+    // Enough that the server has read from it.
+    (0..50).for_each(|_| has_begun.recv().unwrap());
+    for _ in 0..20 {
+        let connection = Connection::connect(server.address(), limits()).unwrap();
+        let reply: Text = connection
+            .unary_call("/t.T/Echo", &text("on"), LONG)
+            .unwrap();
+        assert_eq!(reply.text, "on");
+    }
+    is_over.store(1, Ordering::SeqCst);
+    flooding.join().unwrap();
+}
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -1,8 +1,8 @@
 //! Reads and writes HTTP/1.1 messages. Heads are parsed by `httparse`, bodies are framed by RFC 9112. Messages that
 //! another hop could read differently are refused, since they could smuggle a request past it.
 
-use dahliapoint_fibers::TcpStream;
-use std::io::{self, Read, Write};
+use dahliapoint_fibers::{InputTurns, TcpStream};
+use std::io::{self, Write};
 
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Headers of a head; also lines of trailers.
@@ -162,6 +162,7 @@
 pub struct Connection {
     pub socket: TcpStream,
     buffer: Vec<u8>,
+    turns: InputTurns,
 }
 
 fn parse_error(kind: httparse::Error) -> BadMessage {
@@ -187,6 +188,7 @@
         Connection {
             socket,
             buffer: Vec::new(),
+            turns: InputTurns::default(),
         }
     }
 
@@ -197,7 +199,7 @@
 
     fn fill(&mut self) -> io::Result<usize> {
         let mut chunk = [0; READ_BYTES];
-        let n = self.socket.read(&mut chunk)?;
+        let n = self.turns.read(&mut self.socket, &mut chunk)?;
         self.buffer.extend_from_slice(&chunk[..n]);
         Ok(n)
     }
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -130,7 +130,16 @@
 }
 
 pub fn proxy(controller: SocketAddr, servers: &[SocketAddr], more_settings: &str) -> Proxy {
-    let text = SETTINGS.replace("CONTROLLER", &controller.to_string()) + more_settings;
+    proxy_with(controller, servers, |settings| settings + more_settings)
+}
+
+/// A proxy with changed settings.
+pub fn proxy_with(
+    controller: SocketAddr,
+    servers: &[SocketAddr],
+    change: impl FnOnce(String) -> String,
+) -> Proxy {
+    let text = change(SETTINGS.replace("CONTROLLER", &controller.to_string()));
     let settings = settings::parse("p.yaml", &text).unwrap();
     let roster_server = |(i, address): (usize, &SocketAddr)| RosterServer {
         name: format!("s{i}"),
--- a/crates/proxy/tests/misbehaving_clients.rs
+++ b/crates/proxy/tests/misbehaving_clients.rs
@@ -2,9 +2,13 @@
 
 mod common;
 
-use common::{Client, echo_server, ok, proxy, server, until, unused_address};
-use std::io::Write;
-use std::sync::atomic::Ordering;
+use common::{
+    Client, echo_server, ok, proxy, proxy_with, read_message, server, until, unused_address,
+};
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, mpsc};
 
 /// Settings for one client at a time, so that the next is served only once the last is let go.
 const ONE_CLIENT: &str = "most_clients: 1\n";
@@ -43,3 +47,53 @@
     });
     drop(stopped);
 }
+
+/// Guards against a client whose body comes in tiny chunks without a pause: its coroutine never waited, so that
+/// nobody else was served.
+#[test]
+fn a_flood_of_tiny_chunks_keeps_no_other_client_waiting() {
+    // Reads all that comes, and answers requests for anything but the flood.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for mut socket in listener.incoming().map_while(Result::ok) {
+            std::thread::spawn(move || {
+                let mut unread = Vec::new();
+                let mut buffer = vec![0; 1 << 16];
+                while let Ok(n @ 1..) = socket.peek(&mut buffer) {
+                    if String::from_utf8_lossy(&buffer[..n]).contains("POST /pay/flood") {
+                        while matches!(socket.read(&mut buffer), Ok(1..)) {}
+                        return;
+                    }
+                    if read_message(&mut socket, &mut unread).is_none()
+                        || socket.write_all(&ok(b"")).is_err()
+                    {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    // The flood has no end of its own.
+    let p = proxy_with(unused_address(), &[address], |settings| {
+        settings.replace("{name: pay, hard_limit: 1s}", "{name: pay, hard_limit: 5m}")
+    });
+    let is_over = Arc::new(AtomicBool::new(false));
+    let (stop, (began, has_begun)) = (is_over.clone(), mpsc::channel());
+    let mut flood = Client::of(&p);
+    let flooding = std::thread::spawn(move || {
+        let head = b"POST /pay/flood HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+        flood.socket.write_all(head).unwrap();
+        let chunks = b"1\r\nx\r\n".repeat(10_000);
+        while !stop.load(Ordering::SeqCst) && flood.socket.write_all(&chunks).is_ok() {
+            let _ = began.send(());
+        }
+    });
+    has_begun.recv().unwrap();
+    let mut other = Client::of(&p);
+    for _ in 0..50 {
+        assert_eq!(other.visit("view"), 200);
+    }
+    is_over.store(true, Ordering::SeqCst);
+    flooding.join().unwrap();
+}
