--- a/crates/proxy/src/data_plane.rs
+++ b/crates/proxy/src/data_plane.rs
@@ -12,6 +12,7 @@
 use crate::settings::{RosterServer, Settings};
 use dahliapoint_fibers::{Notify, TcpStream, Timer, dial, listen, shutdown_at, sleep, spawn};
 use dahliapoint_xds::{ClusterLoad, EndpointLoad, ReceivedTable, names};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr};
@@ -373,13 +374,7 @@
         let waiting: Vec<Arc<WaitingVisit>> =
             lock(&self.waiting_visits).values().cloned().collect();
         for visit in &waiting {
-            let is_gone = match visit.client.peek(&mut [0; 1]) {
-                Ok(0) => true,
-                // The client is connected and has sent its next request before the answer.
-                Ok(_) => false,
-                Err(e) => e.kind() != io::ErrorKind::WouldBlock,
-            };
-            if is_gone && !visit.cancelled.swap(true, Ordering::SeqCst) {
+            if has_closed(&visit.client) && !visit.cancelled.swap(true, Ordering::SeqCst) {
                 let _ = visit.server.shutdown(Shutdown::Both);
             }
         }
@@ -408,6 +403,10 @@
                 }
             };
             drop(idle_timer);
+            // Requests that the client sent ahead are not forwarded once it is gone.
+            if has_closed(client.socket.inner()) {
+                return;
+            }
             let can_continue = self.visit(&mut client, &head).unwrap_or(false);
             if !can_continue || head.closes() || self.is_stopping() {
                 return;
@@ -874,6 +873,17 @@
     !matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
 }
 
+/// Returns whether a client has closed its connection, or its sending side, even if bytes that it sent before
+/// are still unread.
+fn has_closed(client: &std::net::TcpStream) -> bool {
+    let mut events = [PollFd::new(client, PollFlags::RDHUP)];
+    let without_waiting = Timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    matches!(poll(&mut events, Some(&without_waiting)), Ok(1..))
+}
+
 /// Writes an answer that the proxy itself gives.
 fn write_own_answer(to: &mut TcpStream, status: u16, why: &str, closes: bool) -> io::Result<()> {
     let close = if closes { "Connection: close\r\n" } else { "" };
--- a/crates/proxy/tests/misbehaving_clients.rs
+++ b/crates/proxy/tests/misbehaving_clients.rs
@@ -7,8 +7,8 @@
 };
 use std::io::{Read, Write};
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, mpsc};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, mpsc};
 
 /// Settings for one client at a time, so that the next is served only once the last is let go.
 const ONE_CLIENT: &str = "most_clients: 1\n";
@@ -48,6 +48,46 @@
     drop(stopped);
 }
 
+/// Guards against requests of a client that has closed its connection: those that it sent ahead were forwarded
+/// afterwards. With few of them the proxy can see the close behind them; with many it learns of it only by
+/// answering the first.
+#[test]
+fn requests_sent_ahead_are_not_forwarded_once_the_client_has_closed() {
+    for requests_ahead in [1, 20, 2000] {
+        let (answer_now, may_answer) = mpsc::channel::<()>();
+        let may_answer = Mutex::new(may_answer);
+        let ahead = Arc::new(AtomicUsize::new(0));
+        let count = ahead.clone();
+        let slow = server(move |message| {
+            if message.head.contains("/first") {
+                // An error means that the test has ended.
+                let _ = may_answer.lock().unwrap().recv();
+            }
+            count.fetch_add(
+                usize::from(message.head.contains("/ahead")),
+                Ordering::SeqCst,
+            );
+            ok(b"")
+        });
+        let p = proxy(unused_address(), &[slow.address], ONE_CLIENT);
+        let mut client = Client::of(&p);
+        let post = |path: &str| {
+            format!("POST /pay/{path} HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+        };
+        let requests = post("first") + &post("ahead").repeat(requests_ahead);
+        client.socket.write_all(requests.as_bytes()).unwrap();
+        until("the first visit begins", || {
+            slow.visits.load(Ordering::SeqCst) == 1
+        });
+        drop(client);
+        answer_now.send(()).unwrap();
+        until("the next client is served", || {
+            Client::of(&p).visit("view") == 200
+        });
+        assert_eq!(ahead.load(Ordering::SeqCst), 0, "{requests_ahead}");
+    }
+}
+
 /// Guards against a client whose body comes in tiny chunks without a pause: its coroutine never waited, so that
 /// nobody else was served.
 #[test]
