--- a/crates/daemon/tests/misbehaving_clients.rs
+++ b/crates/daemon/tests/misbehaving_clients.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
-use common::{Node, line, serving};
-use std::io::{Read, Write};
+use common::{Node, line, serving, withdrawn};
+use dahliapoint_standins::platform::wait_until;
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc;
@@ -54,9 +56,45 @@
             assert_eq!(line(&other), "alive");
         }
         discovery.with_state(|list| list.set_status("s-1", "draining"));
-        assert!(dahliapoint_standins::platform::wait_until(
-            || relay.with_state(|held| common::withdrawn(held, "s-1"))
+        assert!(wait_until(
+            || relay.with_state(|held| withdrawn(held, "s-1"))
         ));
         is_over.store(true, Ordering::SeqCst);
     }
 }
+
+/// Whether the controller has closed a connection, on which nothing is to be read otherwise.
+fn has_ended(mut socket: &TcpStream) -> bool {
+    socket.set_nonblocking(true).unwrap();
+    let read = socket.read(&mut [0; 16]);
+    socket.set_nonblocking(false).unwrap();
+    !matches!(read, Err(e) if e.kind() == ErrorKind::WouldBlock)
+}
+
+/// Guards against collectors that each hold a line of nearly the longest length and never finish it: together
+/// they took more memory than the limit of a controller.
+#[test]
+fn unfinished_lines_together_are_bounded_and_short_ones_cost_no_connection() {
+    let (_relay, _discovery, node) = serving();
+    let mut reporting = node.connect();
+    reporting
+        .write_all(b"agent zone=a\r\noutcomes zone=a ser")
+        .unwrap();
+    let hold = |zone: &str| {
+        let mut socket = node.connect();
+        let line = format!("agent zone={zone}\r\noutcomes zone={zone} server=");
+        socket.write_all(line.as_bytes()).unwrap();
+        // It fails where the connection is closed before all is taken.
+        let _ = socket.write_all(&vec![b'x'; 1_000_000]);
+        socket
+    };
+    let zones = ["a", "b", "a", "b", "a", "b", "b"];
+    let holding: Vec<TcpStream> = zones.into_iter().map(hold).collect();
+    let open = || holding.iter().filter(|s| !has_ended(s)).count();
+    // Two of the longest lines, by the limit.
+    assert!(wait_until(|| open() <= 2), "{} are open", open());
+    reporting
+        .write_all(b"ver=s-1 tries=1 failed=0 mean_ms=1 span_ms=1000\r\nprobe\r\n")
+        .unwrap();
+    assert_eq!(line(&reporting), "alive");
+}
--- a/crates/grpc/src/client.rs
+++ b/crates/grpc/src/client.rs
@@ -196,7 +196,7 @@
         {
             return Err(status);
         }
-        let mut inbound = Inbound::new(body, self.max_message_bytes, true);
+        let mut inbound = Inbound::new(body, self.max_message_bytes, None);
         inbound.deadline = self.deadline;
         Ok((self.outbound, inbound))
     }
--- a/crates/grpc/src/codec.rs
+++ b/crates/grpc/src/codec.rs
@@ -1,6 +1,7 @@
 //! Length-prefixed messages over HTTP/2 streams. Flow control slows the sender down to the speed of the reader.
 
 use crate::status::{Code, Status};
+use crate::unfinished::HeldBytes;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use dahliapoint_fibers::{Elapsed, block_on_until};
 use h2::{RecvStream, SendStream};
@@ -20,11 +21,20 @@
     pub(crate) deadline: Option<Instant>,
     /// A client expects a status in trailers at the end of the stream; a server expects nothing more.
     is_client: bool,
+    /// Set on a server.
+    held: Option<HeldBytes>,
 }
 
 impl Inbound {
-    pub(crate) fn new(stream: RecvStream, max_message_bytes: usize, is_client: bool) -> Inbound {
+    /// The receiving side of a client's call, or with `held` of a server's.
+    pub(crate) fn new(
+        stream: RecvStream,
+        max_message_bytes: usize,
+        held: Option<HeldBytes>,
+    ) -> Inbound {
+        let is_client = held.is_none();
         Inbound {
+            held,
             stream,
             buffer: BytesMut::new(),
             max_message_bytes,
@@ -63,6 +73,7 @@
                     // The data is read, so the window opens by as much: only unread data holds the peer up.
                     let _ = self.stream.flow_control().release_capacity(bytes.len());
                     self.buffer.extend_from_slice(&bytes);
+                    self.check_held()?;
                 }
                 Some(Err(e)) => return Err(Status::from_h2(&e)),
                 None => return self.finish_receiving(deadline).map(|()| None),
@@ -70,6 +81,18 @@
         }
     }
 
+    /// Checks the bytes that all calls hold together.
+    fn check_held(&mut self) -> Result<(), Status> {
+        let bytes = self.buffer.len();
+        match self.held.as_mut().is_none_or(|held| held.set(bytes)) {
+            true => Ok(()),
+            false => {
+                let message = "unfinished messages of all calls take too much memory";
+                Err(Status::new(Code::ResourceExhausted, message))
+            }
+        }
+    }
+
     /// Removes the first message from the buffer, if it is complete.
     fn take_message(&mut self) -> Result<Option<Bytes>, Status> {
         if self.buffer.len() < PREFIX_BYTES {
@@ -96,7 +119,11 @@
             return Ok(None);
         }
         self.buffer.advance(PREFIX_BYTES);
-        Ok(Some(self.buffer.split_to(size).freeze()))
+        let message = self.buffer.split_to(size).freeze();
+        if let Some(held) = &mut self.held {
+            held.set(self.buffer.len());
+        }
+        Ok(Some(message))
     }
 
     /// Checks the end of the stream: no partial message, and on a client a status in the trailers.
--- a/crates/grpc/src/lib.rs
+++ b/crates/grpc/src/lib.rs
@@ -9,6 +9,7 @@
 mod codec;
 mod server;
 mod status;
+mod unfinished;
 
 pub use client::{Connection, PendingCall};
 pub use codec::{Inbound, Outbound};
@@ -28,6 +29,10 @@
     pub max_concurrent_calls: u32,
     /// Concurrent connections of a server.
     pub max_connections: usize,
+    /// Concurrent calls of a server.
+    pub max_calls: usize,
+    /// Bytes of unfinished messages that all calls of a server hold together.
+    pub max_unfinished_bytes: usize,
     /// Flow-control window of a call: bytes that a peer may send before they are read.
     pub call_window_bytes: u32,
     /// Flow-control window of a connection.
@@ -46,6 +51,8 @@
             max_header_bytes: 16 << 10,
             max_concurrent_calls: 64,
             max_connections: 8192,
+            max_calls: 16 << 10,
+            max_unfinished_bytes: 64 << 20,
             call_window_bytes: 128 << 10,
             connection_window_bytes: 512 << 10,
             keepalive_interval: Duration::from_secs(2),
--- a/crates/grpc/src/server.rs
+++ b/crates/grpc/src/server.rs
@@ -3,6 +3,7 @@
 use crate::Limits;
 use crate::codec::{Inbound, Outbound};
 use crate::status::{Code, Status};
+use crate::unfinished::{HeldBytes, UnfinishedBytes};
 use bytes::Bytes;
 use dahliapoint_fibers::{TcpStream, async_stream, block_on, block_on_until, dial, listen, spawn};
 use h2::server::{Connection, SendResponse};
@@ -90,6 +91,12 @@
             connections: Arc::default(),
         };
         let (shutdown, connections) = (server.shutdown.clone(), server.connections.clone());
+        let calls = Calls {
+            handler,
+            limits,
+            open: Arc::default(),
+            unfinished: UnfinishedBytes::new(limits.max_unfinished_bytes),
+        };
         spawn(move || {
             for socket in listener.incoming() {
                 if shutdown.triggered.load(Ordering::SeqCst) {
@@ -112,12 +119,12 @@
                     continue;
                 }
                 connections.fetch_add(1, Ordering::SeqCst);
-                let (handler, shutdown, connections) =
-                    (handler.clone(), shutdown.clone(), connections.clone());
+                let (calls, shutdown, connections) =
+                    (calls.clone(), shutdown.clone(), connections.clone());
                 spawn(move || {
                     let peer = socket.peer_addr();
                     if let Ok(peer) = peer
-                        && let Err(e) = serve_connection(socket, peer, limits, &handler, &shutdown)
+                        && let Err(e) = serve_connection(socket, peer, &calls, &shutdown)
                     {
                         debug!(%peer, error = %e, "a connection ended");
                     }
@@ -151,6 +158,36 @@
     }
 }
 
+/// The calls of all connections of a server.
+#[derive(Clone)]
+struct Calls {
+    handler: Arc<dyn Handler>,
+    limits: Limits,
+    /// How many are open.
+    open: Arc<AtomicUsize>,
+    unfinished: Arc<UnfinishedBytes>,
+}
+
+impl Calls {
+    /// Serves a call in a coroutine of its own, unless too many are open.
+    fn start(
+        &self,
+        request: Request<RecvStream>,
+        responder: SendResponse<Bytes>,
+        peer: SocketAddr,
+    ) {
+        if self.open.fetch_add(1, Ordering::AcqRel) >= self.limits.max_calls {
+            self.open.fetch_sub(1, Ordering::AcqRel);
+            return reject(responder, &Status::new(Code::Unavailable, "too many calls"));
+        }
+        let calls = self.clone();
+        spawn(move || {
+            serve_call(request, responder, peer, &calls);
+            calls.open.fetch_sub(1, Ordering::AcqRel);
+        });
+    }
+}
+
 /// A request accepted on a connection; none when the connection has ended.
 type Accepted = Option<Result<(Request<RecvStream>, SendResponse<Bytes>), h2::Error>>;
 
@@ -158,10 +195,10 @@
 fn serve_connection(
     socket: TcpStream,
     peer: SocketAddr,
-    limits: Limits,
-    handler: &Arc<dyn Handler>,
+    calls: &Calls,
     shutdown: &Arc<ShutdownSignal>,
 ) -> Result<(), String> {
+    let limits = calls.limits;
     let io = async_stream(socket, limits.peer_timeout).map_err(|e| e.to_string())?;
     let mut builder = h2::server::Builder::new();
     builder
@@ -201,10 +238,7 @@
             shutdown.unregister(&waker);
         }
         match accepted {
-            Some(Ok((request, responder))) => {
-                let handler = handler.clone();
-                spawn(move || serve_call(request, responder, peer, limits, &handler));
-            }
+            Some(Ok((request, responder))) => calls.start(request, responder, peer),
             Some(Err(e)) => return Err(e.to_string()),
             None if ping_failed.load(Ordering::SeqCst) => return Err("no answer to a ping".into()),
             None => return Ok(()),
@@ -248,8 +282,7 @@
     request: Request<RecvStream>,
     mut responder: SendResponse<Bytes>,
     peer: SocketAddr,
-    limits: Limits,
-    handler: &Arc<dyn Handler>,
+    calls: &Calls,
 ) {
     let (head, body) = request.into_parts();
     let content_type = head.headers.get("content-type");
@@ -282,7 +315,8 @@
     let Ok(stream) = responder.send_response(response, false) else {
         return;
     };
-    let mut inbound = Inbound::new(body, limits.max_message_bytes, false);
+    let held = HeldBytes::new(calls.unfinished.clone());
+    let mut inbound = Inbound::new(body, calls.limits.max_message_bytes, Some(held));
     inbound.deadline = deadline;
     let outbound = Outbound {
         stream,
@@ -290,7 +324,7 @@
         is_client: false,
         finished: false,
     };
-    handler.call(Call {
+    calls.handler.call(Call {
         path,
         headers: head.headers,
         peer,
--- a/crates/grpc/tests/calls.rs
+++ b/crates/grpc/tests/calls.rs
@@ -285,3 +285,89 @@
     is_over.store(1, Ordering::SeqCst);
     flooding.join().unwrap();
 }
+
+/// Sends the head of a message of 90,000 bytes and most of it, and keeps the call open.
+fn hold_unfinished_message(address: SocketAddr) -> std::net::TcpStream {
+    let mut socket = std::net::TcpStream::connect(address).unwrap();
+    let mut bytes = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0".to_vec();
+    let mut headers = Vec::new();
+    for (name, value) in [
+        (":method", "POST"),
+        (":scheme", "http"),
+        (":path", "/t.T/Echo"),
+        (":authority", "h"),
+        ("te", "trailers"),
+        ("content-type", "application/grpc"),
+    ] {
+        // A literal field without indexing.
+        headers.extend([&[0, name.len() as u8], name.as_bytes()].concat());
+        headers.extend([&[value.len() as u8], value.as_bytes()].concat());
+    }
+    bytes.extend([0, 0, headers.len() as u8, 1, 4, 0, 0, 0, 1]);
+    bytes.extend(headers);
+    let message = [&[0], &90_000_u32.to_be_bytes()[..], &[b'x'; 59_995]].concat();
+    for part in message.chunks(10_000) {
+        bytes.extend([
+            0,
+            (part.len() >> 8) as u8,
+            part.len() as u8,
+            0,
+            0,
+            0,
+            0,
+            0,
+            1,
+        ]);
+        bytes.extend(part);
+    }
+    socket.write_all(&bytes).unwrap();
+    socket
+}
+
+/// Guards against clients that each stop half way through a large message on many calls: every one of them was
+/// held up to its largest size, without a limit on all together.
+#[test]
+fn unfinished_messages_of_all_calls_are_bounded_together() {
+    let echo = Echo::default();
+    let ended = echo.ended.clone();
+    let limits = Limits {
+        max_unfinished_bytes: 200_000,
+        ..limits()
+    };
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let server = Server::start(any, limits, Arc::new(echo)).unwrap();
+    // Three of 60,000 bytes fit.
+    let _held: Vec<_> = (0..10)
+        .map(|_| hold_unfinished_message(server.address()))
+        .collect();
+    wait_until("seven calls are refused", || {
+        ended.load(Ordering::SeqCst) == 7
+    });
+    let connection = Connection::connect(server.address(), limits).unwrap();
+    let reply: Text = connection
+        .unary_call("/t.T/Echo", &text("short ones pass"), LONG)
+        .unwrap();
+    assert_eq!(reply.text, "short ones pass");
+}
+
+#[test]
+fn a_call_beyond_the_limit_of_the_server_is_unavailable() {
+    let limits = Limits {
+        max_calls: 1,
+        ..limits()
+    };
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let server = Server::start(any, limits, Arc::new(Echo::default())).unwrap();
+    let connection = Connection::connect(server.address(), limits).unwrap();
+    let mut open = connection.start_call("/t.T/Echo", None).unwrap();
+    open.outbound.send(&text("")).unwrap();
+    let (outbound, inbound) = open.wait_for_response().unwrap();
+    let refused = connection.unary_call::<_, Text>("/t.T/Echo", &text(""), LONG);
+    assert_eq!(refused.unwrap_err().code, Code::Unavailable);
+    drop((outbound, inbound));
+    wait_until("the next call is served", || {
+        connection
+            .unary_call::<_, Text>("/t.T/Echo", &text(""), LONG)
+            .is_ok()
+    });
+}
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -17,6 +17,8 @@
 //!    down first, and further input is discarded for a while ([`ANSWER_TIMEOUT`],
 //!    [`MAX_DISCARDED_BYTES`]). Closing with unread bytes would send a reset, which can discard the
 //!    answer. At most [`MAX_CLOSING`] connections at a time end this way; others are closed at once.
+//! 8. Unfinished lines of all connections together hold at most [`MAX_UNFINISHED_BYTES`]; beyond that the
+//!    connection with the longest one is closed. A line within [`MAX_LINE_BYTES_BEFORE_JOINING`] closes none.
 
 use crate::shared::Shared;
 use dahliapoint_fibers::{Socket, TcpListener, accept, sleep, spawn, yield_now};
@@ -40,6 +42,8 @@
 const MAX_COLLECTORS_PER_ZONE: usize = 4;
 /// The longest line accepted before joining, in bytes.
 const MAX_LINE_BYTES_BEFORE_JOINING: usize = 4096;
+/// The limit on the unfinished lines of all connections together, in bytes: two of the longest.
+const MAX_UNFINISHED_BYTES: usize = 2 * inbound::MAX_LINE_BYTES;
 /// The timeout for writing an answer, and for reading what follows before the connection is closed.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Descriptors reserved for relay, discovery, probes, the runtime and connections that are closing.
@@ -56,6 +60,8 @@
     zone: Option<usize>,
     /// When a collector last sent something.
     last_received: Instant,
+    /// Bytes of the line that it has not finished.
+    unfinished_bytes: usize,
 }
 
 /// The open connections.
@@ -132,6 +138,7 @@
             socket: socket.clone(),
             zone: None,
             last_received: Instant::now(),
+            unfinished_bytes: 0,
         };
         self.lock_open().insert(number, connection);
         let connections = self.clone();
@@ -186,14 +193,34 @@
             socket: socket.clone(),
             zone: Some(zone),
             last_received: Instant::now(),
+            unfinished_bytes: 0,
         };
         open.insert(number, connection);
     }
 
-    /// Records that a collector sent something.
-    fn record_received(&self, number: u64) {
-        if let Some(connection) = self.lock_open().get_mut(&number) {
+    /// Records that a collector sent something, and how much of an unfinished line it has sent (rule 8).
+    fn record_received(&self, number: u64, unfinished_bytes: usize) {
+        let mut open = self.lock_open();
+        if let Some(connection) = open.get_mut(&number) {
             connection.last_received = Instant::now();
+            connection.unfinished_bytes = unfinished_bytes;
+        }
+        if unfinished_bytes <= MAX_LINE_BYTES_BEFORE_JOINING {
+            return;
+        }
+        let total: usize = open.values().map(|c| c.unfinished_bytes).sum();
+        if total <= MAX_UNFINISHED_BYTES {
+            return;
+        }
+        let longest = open.iter().max_by_key(|(_, c)| c.unfinished_bytes);
+        let Some(longest) = longest.map(|(number, _)| *number) else {
+            return;
+        };
+        if let Some(closed) = open.remove(&longest) {
+            closed.socket.interrupt();
+            drop(open);
+            let detail = || "unfinished lines take too much memory: the longest one goes".into();
+            self.shared.log.fault("unfinished lines", detail);
         }
     }
 
@@ -264,7 +291,7 @@
             if zone.is_some() {
                 lines.set_max_len(inbound::MAX_LINE_BYTES);
                 deadline = Instant::now() + COLLECTOR_IDLE_TIMEOUT;
-                self.record_received(number);
+                self.record_received(number, lines.pending_len());
             }
             self.shared.send_inputs(inputs);
             if !is_open && !self.is_open(number) {
--- a/crates/platform/src/line_buffer.rs
+++ b/crates/platform/src/line_buffer.rs
@@ -38,9 +38,20 @@
             self.searched -= self.consumed;
             self.consumed = 0;
         }
+        self.reserve(bytes.len());
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Makes room for more bytes. The capacity doubles, but not beyond what the longest line takes.
+    fn reserve(&mut self, more: usize) {
+        let needed = self.buffer.len() + more;
+        if needed > self.buffer.capacity() {
+            let doubled = self.buffer.capacity() * 2;
+            let capacity = doubled.min(self.max_len + more).max(needed);
+            self.buffer.reserve_exact(capacity - self.buffer.len());
+        }
+    }
+
     /// Returns the next complete line without its end (CRLF or LF), or `None` until more bytes arrive.
     ///
     /// # Errors
